--- a/cmd/cobaltvale/main.go
+++ b/cmd/cobaltvale/main.go
@@ -1,60 +1,99 @@
+// Command cobaltvale is the controller of a cluster of rented machines.
 package main
 
 import (
+	"errors"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"os"
+	"runtime/debug"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-	"github.com/pelletier/go-toml/v2"
+	"github.com/rs/zerolog"
+	"github.com/spf13/pflag"
+
+	"github.com/cobaltvale/cobaltvale/internal/settings"
 )
 
-type srv struct{ gnet.BuiltinEventEngine }
+const version = "0.1.0"
 
-func (s *srv) OnTraffic(c gnet.Conn) gnet.Action {
-	b, _ := c.Next(-1)
-	fmt.Fprintln(os.Stderr, "traffic", len(b), string(b))
-	c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
-	return gnet.None
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
-type cli struct{ gnet.BuiltinEventEngine }
-
-func (s *cli) OnTraffic(c gnet.Conn) gnet.Action {
-	b, _ := c.Next(-1)
-	fmt.Fprintln(os.Stderr, "client traffic", len(b), string(b[:min(len(b), 300)]))
-	return gnet.None
+func run(args []string, stdout, stderr io.Writer) int {
+	flags := pflag.NewFlagSet("cobaltvale", pflag.ContinueOnError)
+	flags.SetOutput(stderr)
+	config := flags.String("config", "", "settings file of the platform (TOML)")
+	props := flags.String("properties", "", "operators' own settings (Java-style properties)")
+	check := flags.Bool("check", false, "check the settings and end")
+	flags.Usage = func() {
+		fmt.Fprint(stdout, "usage: cobaltvale --config FILE [--properties FILE] [--check]\n       cobaltvale version\n\n", flags.FlagUsages())
+	}
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, pflag.ErrHelp) {
+			return 0
+		}
+		fmt.Fprintln(stderr, "cobaltvale:", err)
+		return 2
+	}
+	if flags.NArg() == 1 && flags.Arg(0) == "version" {
+		fmt.Fprintln(stdout, "cobaltvale", version)
+		return 0
+	}
+	if flags.NArg() > 0 {
+		fmt.Fprintf(stderr, "cobaltvale: unexpected argument %q\n", flags.Arg(0))
+		return 2
+	}
+	if *config == "" {
+		fmt.Fprintln(stderr, "cobaltvale: --config is missing")
+		return 2
+	}
+	file, tune, err := load(*config, *props)
+	if err != nil {
+		fmt.Fprintln(stderr, "cobaltvale:", err)
+		return 2
+	}
+	if *check {
+		fmt.Fprintln(stdout, "settings are in order")
+		return 0
+	}
+	log, err := logger(stderr, os.Getenv("LOG_LEVEL"))
+	if err != nil {
+		fmt.Fprintln(stderr, "cobaltvale:", err)
+		return 2
+	}
+	// Two thirds of the limit are the heap's; the rest is left to stacks,
+	// the runtime and the program itself.
+	debug.SetMemoryLimit(int64(file.Settings.Limits.MemMB * float64(1<<20) * 2 / 3))
+	if err := serve(file, tune, log, rand.Uint64(), time.Now()); err != nil {
+		log.Error().Err(err).Msg("ending")
+		return 1
+	}
+	return 0
 }
-func (s *cli) OnClose(c gnet.Conn, err error) gnet.Action {
-	fmt.Fprintln(os.Stderr, "client close", err)
-	return gnet.None
+
+func load(config, props string) (*settings.File, settings.Tuning, error) {
+	file, err := settings.Load(config)
+	if err != nil {
+		return nil, settings.Tuning{}, err
+	}
+	if props == "" {
+		return file, settings.DefaultTuning(), nil
+	}
+	tune, err := settings.LoadTuning(props)
+	return file, tune, err
 }
-func main() {
-	b, _ := os.ReadFile(os.Args[len(os.Args)-1])
-	var c struct {
-		APIAddr  string `toml:"api_addr"`
-		External struct{ State, Cloud string }
-	}
-	if err := toml.Unmarshal(b, &c); err != nil {
-		panic(err)
-	}
-	go func() {
-		client, err := gnet.NewClient(&cli{}, gnet.WithTicker(false))
-		if err != nil {
-			fmt.Fprintln(os.Stderr, "client err", err)
-			return
-		}
-		client.Start()
-		for i := 0; i < 3; i++ {
-			time.Sleep(time.Second)
-			conn, err := client.Dial("tcp", c.External.State)
-			if err != nil {
-				fmt.Fprintln(os.Stderr, "dial err", err)
-				continue
-			}
-			conn.AsyncWrite([]byte("GET /kv?under=a HTTP/1.1\r\nHost: x\r\n\r\n"), nil)
-		}
-	}()
-	err := gnet.Run(&srv{}, "tcp://"+c.APIAddr, gnet.WithNumEventLoop(1))
-	fmt.Fprintln(os.Stderr, "run", err)
+
+func logger(w io.Writer, level string) (zerolog.Logger, error) {
+	switch level {
+	case "", "info":
+		return zerolog.New(w).Level(zerolog.InfoLevel).With().Timestamp().Logger(), nil
+	case "error":
+		return zerolog.New(w).Level(zerolog.ErrorLevel).With().Timestamp().Logger(), nil
+	case "debug":
+		return zerolog.New(w).Level(zerolog.DebugLevel).With().Timestamp().Logger(), nil
+	}
+	return zerolog.Nop(), fmt.Errorf("LOG_LEVEL %q is not error, info or debug", level)
 }
--- /dev/null
+++ b/cmd/cobaltvale/serve.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
+	"github.com/cobaltvale/cobaltvale/internal/coordination"
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+	"github.com/cobaltvale/cobaltvale/internal/settings"
+	"github.com/cobaltvale/cobaltvale/internal/transport"
+)
+
+const (
+	stateConns  = 8
+	cloudConns  = 3
+	clientQueue = 1024
+	meshSilence = 4 * time.Second
+)
+
+// steadyClock counts from the start of the process.
+type steadyClock struct{ start time.Time }
+
+func (c steadyClock) Now() time.Duration { return time.Since(c.start) }
+
+// caller calls an outside service and brings the answer to the core's queue.
+type caller struct {
+	client *transport.HTTPClient
+	queue  *coordination.Queue
+}
+
+func (c caller) Call(method, path string, body []byte, timeout time.Duration, done func(bookkeeping.Result)) {
+	c.client.Do(method, path, body, timeout, func(r transport.HTTPResult) {
+		c.queue.Post(func() {
+			done(bookkeeping.Result{Status: r.Status, Body: r.Body, NotSent: errors.Is(r.Err, transport.ErrNotSent)})
+		})
+	})
+}
+
+// meshEvents brings what happens on the mesh to the core's queue.
+type meshEvents struct {
+	core  *coordination.Core
+	queue *coordination.Queue
+}
+
+func (m meshEvents) MeshUp(l *transport.MeshLink, member string, incarnation uint64) {
+	m.queue.Post(func() { m.core.LinkUp(l, member, incarnation) })
+}
+
+func (m meshEvents) MeshFrame(l *transport.MeshLink, f *meshpb.Frame) {
+	m.queue.Post(func() { m.core.LinkFrame(l, f) })
+}
+
+func (m meshEvents) MeshDown(l *transport.MeshLink) {
+	m.queue.Post(func() { m.core.LinkDown(l) })
+}
+
+// serve wires the layers together and runs until one of them ends.
+func serve(file *settings.File, tune settings.Tuning, log zerolog.Logger, incarnation uint64, start time.Time) error {
+	dialer, err := transport.NewDialer()
+	if err != nil {
+		return err
+	}
+	queue := coordination.NewQueue()
+	core, err := coordination.New(file, tune, coordination.Env{
+		Clock: steadyClock{start},
+		Wall:  time.Now,
+		Rand:  rand.New(rand.NewPCG(rand.Uint64(), incarnation)),
+		State: caller{transport.NewHTTPClient(dialer, file.External.State, stateConns, clientQueue), queue},
+		Cloud: caller{transport.NewHTTPClient(dialer, file.External.Cloud, cloudConns, clientQueue), queue},
+		Log:   log,
+	}, incarnation)
+	if err != nil {
+		return err
+	}
+	peers := make([]transport.MeshPeer, 0, len(file.Known))
+	for _, p := range file.Known {
+		peers = append(peers, transport.MeshPeer{Member: p.Member, Addr: p.Address})
+	}
+	mesh := transport.NewMesh(transport.MeshConfig{Self: file.Member, Incarnation: incarnation, Addr: file.MeshAddr,
+		Peers: peers, Silence: meshSilence}, dialer, meshEvents{core, queue})
+	sockets := file.Settings.Limits.Sockets
+	server := transport.NewServer(transport.ServerConfig{
+		Addr:        file.APIAddr,
+		MaxConns:    sockets - stateConns - cloudConns - 4*len(peers) - min(32, sockets/4),
+		MaxInFlight: 2048,
+		IdleTimeout: 2 * time.Minute,
+		ReadTimeout: 15 * time.Second,
+	}, func(req *transport.Request, reply func(transport.Response)) {
+		queue.Post(func() {
+			core.HandleHTTP(&coordination.Request{Method: req.Method, Path: req.Path, Body: req.Body},
+				func(r coordination.Response) {
+					reply(transport.Response{Status: r.Status, Body: r.Body, RetryAfterS: r.RetryAfterS})
+				})
+		})
+	})
+	ended := make(chan error, 2)
+	go func() { ended <- mesh.Run() }()
+	go func() { ended <- server.Run() }()
+	go func() {
+		err := <-ended
+		queue.Stop()
+		ended <- err
+	}()
+	log.Info().Str("member", file.Member).Msg("started")
+	queue.Run(core)
+	return <-ended
+}
--- /dev/null
+++ b/internal/bookkeeping/ledger.go
@@ -0,0 +1,508 @@
+package bookkeeping
+
+import (
+	"encoding/base64"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+)
+
+// Keys of the state service. Everything that a watch must see lies under
+// MemberPrefix.
+const (
+	MemberPrefix = "m/"
+	LeaderKey    = MemberPrefix + "leader"
+	ledgerPrefix = MemberPrefix + "ledger/"
+	jobPrefix    = "job/"
+	ownPrefix    = "own/"
+	donePrefix   = "done/"
+)
+
+// chunkTasks is how many tasks one record of finished tasks covers: about a
+// kilobyte and a half in the longest form.
+const chunkTasks = 8192
+
+// LedgerKey is the key that names a ledger's holder.
+func LedgerKey(ledger string) string { return ledgerPrefix + ledger }
+
+// LedgerOfKey is its inverse.
+func LedgerOfKey(key string) (string, bool) { return strings.CutPrefix(key, ledgerPrefix) }
+
+// JobKey is the key under which any node finds a job.
+func JobKey(id string) string { return jobPrefix + id }
+
+// Holder is the value of a ledger or leader key: a member, and by the nonce
+// the one process of it that holds the key.
+type Holder struct {
+	Member string `cbor:"m"`
+	Nonce  string `cbor:"n"`
+}
+
+// JobRecord is the value of a job's key. Status is empty until the job has
+// come to its end.
+type JobRecord struct {
+	Ledger string `cbor:"l"`
+	Nonce  string `cbor:"n"`
+	Status string `cbor:"s"`
+	Tasks  int    `cbor:"t"`
+}
+
+// OwnRecord describes an unfinished job of a ledger.
+type OwnRecord struct {
+	Job  protocol.Job `cbor:"j"`
+	AtMs int64        `cbor:"at"`
+}
+
+// RecoveredJob is a job as the state service has it.
+type RecoveredJob struct {
+	Job  protocol.Job
+	AtMs int64
+	Done []bool
+}
+
+// CreateResult is what became of a new job.
+type CreateResult uint8
+
+// The ends of a creation.
+const (
+	Created     CreateResult = iota + 1
+	Exists                   // a job of this id is known already
+	Unavailable              // surely not created; the user may ask again
+)
+
+// Ledger writes the records of one ledger that this process holds. Every
+// write is conditional on the stamp of the ledger key.
+type Ledger struct {
+	store *Store
+	name  string
+	key   string
+	me    Holder
+	lease uint64
+	stamp uint64
+	lost  bool
+	onEnd func()
+
+	settling bool
+	waiting  []func() // operations to run once the ledger is settled
+	chunks   map[chunkKey]*chunk
+}
+
+type chunkKey struct {
+	job string
+	n   int
+}
+
+type chunk struct {
+	bits    []byte
+	dirty   bool
+	writing bool
+	closed  bool
+	waiters []func()
+}
+
+// NewLedger wraps a ledger key that this process has just taken with the
+// given stamp. onEnd is called once when it turns out to be another's.
+func NewLedger(s *Store, name string, me Holder, lease, stamp uint64, onEnd func()) *Ledger {
+	return &Ledger{store: s, name: name, key: LedgerKey(name), me: me, lease: lease, stamp: stamp,
+		onEnd: onEnd, chunks: make(map[chunkKey]*chunk)}
+}
+
+// Name returns the ledger's name.
+func (l *Ledger) Name() string { return l.name }
+
+// Stamp returns the stamp that fences this holder's writes.
+func (l *Ledger) Stamp() uint64 { return l.stamp }
+
+// Close stops all writing; callbacks of unfinished operations never come.
+func (l *Ledger) Close() {
+	l.lost = true
+	l.waiting = nil
+}
+
+func (l *Ledger) fail() {
+	if l.lost {
+		return
+	}
+	l.Close()
+	l.onEnd()
+}
+
+// write runs a conditional transaction until its outcome is certain. The
+// result is Applied, Conflict (on a key other than the ledger's), Refused if
+// retry is false, or Invalid.
+func (l *Ledger) write(t protocol.Txn, urgent, retry bool, done func(TxnResult)) {
+	if l.lost {
+		return
+	}
+	if l.settling {
+		l.waiting = append(l.waiting, func() { l.write(t, urgent, retry, done) })
+		return
+	}
+	full := t
+	full.If = append([]protocol.Condition{{Key: l.key, Stamp: l.stamp}}, t.If...)
+	sent := l.stamp
+	l.store.Txn(urgent, full, func(r TxnResult) {
+		if l.lost {
+			return
+		}
+		again := func() { l.write(t, urgent, retry, done) }
+		switch {
+		case r.Outcome == Unknown:
+			l.waiting = append(l.waiting, again)
+			l.settle()
+		case r.Outcome == Conflict && r.FailedOn(l.key):
+			if l.stamp != sent {
+				again() // the ledger was settled meanwhile under a new stamp
+				return
+			}
+			l.waiting = append(l.waiting, again)
+			l.inspect()
+		case r.Outcome == Refused && retry:
+			l.store.After(retryPause, again)
+		case r.Outcome == NoLease:
+			l.fail()
+		default:
+			done(r)
+		}
+	})
+}
+
+// settle makes sure that no transaction of ours which got no answer can still
+// be applied: it gives the ledger key a new stamp. A transaction sent under
+// the old one has either been applied by then or never will be.
+func (l *Ledger) settle() {
+	if l.settling || l.lost {
+		return
+	}
+	l.settling = true
+	l.refence()
+}
+
+func (l *Ledger) refence() {
+	if l.lost {
+		return
+	}
+	t := protocol.Txn{
+		If:   []protocol.Condition{{Key: l.key, Stamp: l.stamp}},
+		Then: []protocol.Change{{Put: l.key, Value: l.store.codec.Encode(l.me), Lease: l.lease}},
+	}
+	l.store.Txn(true, t, func(r TxnResult) {
+		if l.lost {
+			return
+		}
+		switch r.Outcome {
+		case Applied:
+			l.settled(r.Revision)
+		case Conflict, Unknown:
+			l.settling = true
+			l.inspectNow(r.Outcome == Unknown)
+		case NoLease:
+			l.fail()
+		default:
+			l.store.After(retryPause, l.refence)
+		}
+	})
+}
+
+// inspect finds out why the ledger key has another stamp.
+func (l *Ledger) inspect() {
+	if l.settling || l.lost {
+		return
+	}
+	l.settling = true
+	l.inspectNow(false)
+}
+
+func (l *Ledger) inspectNow(unknown bool) {
+	l.store.Get(true, l.key, func(p protocol.Pair, found, ok bool) {
+		if l.lost {
+			return
+		}
+		if !ok {
+			l.store.After(retryPause, func() {
+				if !l.lost {
+					l.inspectNow(unknown)
+				}
+			})
+			return
+		}
+		var h Holder
+		if !found || l.store.codec.Decode(p.Value, &h) != nil || h != l.me {
+			l.fail()
+			return
+		}
+		if p.Stamp == l.stamp && unknown {
+			// Our new stamp has not been written yet, but may be later.
+			l.store.After(retryPause, l.refence)
+			return
+		}
+		l.settled(p.Stamp)
+	})
+}
+
+func (l *Ledger) settled(stamp uint64) {
+	l.stamp = stamp
+	l.settling = false
+	run := l.waiting
+	l.waiting = nil
+	for _, fn := range run {
+		fn()
+	}
+}
+
+// Release gives the ledger up.
+func (l *Ledger) Release(done func(TxnResult)) {
+	t := protocol.Txn{If: []protocol.Condition{{Key: l.key, Stamp: l.stamp}}, Then: []protocol.Change{{Delete: l.key}}}
+	l.Close()
+	l.store.Txn(true, t, done)
+}
+
+// Create writes a new job before its user is told that it is accepted.
+func (l *Ledger) Create(j *protocol.Job, atMs int64, nonce string, done func(CreateResult)) {
+	rec := JobRecord{Ledger: l.name, Nonce: nonce, Tasks: j.Tasks}
+	key := JobKey(j.ID)
+	t := protocol.Txn{
+		If: []protocol.Condition{{Key: key, Stamp: 0}},
+		Then: []protocol.Change{
+			{Put: key, Value: l.store.codec.Encode(rec)},
+			{Put: ownPrefix + l.name + "/" + j.ID, Value: l.store.codec.Encode(OwnRecord{Job: *j, AtMs: atMs})},
+		},
+	}
+	l.write(t, false, false, func(r TxnResult) {
+		switch r.Outcome {
+		case Applied:
+			done(Created)
+		case Conflict:
+			l.whose(key, nonce, done)
+		default:
+			done(Unavailable)
+		}
+	})
+}
+
+// whose tells whether the job that stands in the way of a creation is that
+// very creation, applied by an earlier transaction that got no answer.
+func (l *Ledger) whose(key, nonce string, done func(CreateResult)) {
+	if l.lost {
+		return
+	}
+	l.store.Get(false, key, func(p protocol.Pair, found, ok bool) {
+		if l.lost {
+			return
+		}
+		var rec JobRecord
+		switch {
+		case !ok:
+			l.store.After(retryPause, func() { l.whose(key, nonce, done) })
+		case found && l.store.codec.Decode(p.Value, &rec) == nil && rec.Ledger == l.name && rec.Nonce == nonce:
+			done(Created)
+		case found:
+			done(Exists)
+		default:
+			done(Unavailable)
+		}
+	})
+}
+
+// End writes a job's final state, before anyone is told of it, and drops what
+// is no longer needed of it.
+func (l *Ledger) End(j *protocol.Job, nonce, status string, done func()) {
+	t := protocol.Txn{Then: []protocol.Change{
+		{Put: JobKey(j.ID), Value: l.store.codec.Encode(JobRecord{Ledger: l.name, Nonce: nonce, Status: status, Tasks: j.Tasks})},
+		{Delete: ownPrefix + l.name + "/" + j.ID},
+	}}
+	var drops []protocol.Change
+	for n := 0; n*chunkTasks < j.Tasks; n++ {
+		if k := (chunkKey{j.ID, n}); l.chunks[k] != nil {
+			l.chunks[k].closed = true
+			l.chunks[k].waiters = nil
+			delete(l.chunks, k)
+			drops = append(drops, protocol.Change{Delete: l.doneKey(k)})
+		}
+	}
+	if free := l.store.limits.TxnOps - len(t.Then); len(drops) <= free {
+		t.Then = append(t.Then, drops...)
+		drops = nil
+	}
+	l.write(t, true, true, func(r TxnResult) {
+		if r.Outcome != Applied {
+			return
+		}
+		for len(drops) > 0 {
+			n := min(len(drops), l.store.limits.TxnOps)
+			l.write(protocol.Txn{Then: drops[:n]}, false, true, func(TxnResult) {})
+			drops = drops[n:]
+		}
+		done()
+	})
+}
+
+func (l *Ledger) doneKey(k chunkKey) string {
+	return donePrefix + l.name + "/" + k.job + "/" + strconv.Itoa(k.n)
+}
+
+// TaskDone notes a finished task; done is called once it is written. Notes
+// are gathered and written together, see Flush.
+func (l *Ledger) TaskDone(job string, task int, done func()) {
+	k := chunkKey{job, task / chunkTasks}
+	c := l.chunks[k]
+	if c == nil {
+		c = &chunk{}
+		l.chunks[k] = c
+	}
+	c.bits = setBit(c.bits, task%chunkTasks)
+	c.dirty = true
+	c.waiters = append(c.waiters, done)
+}
+
+// Flush writes what has gathered, as many records to a transaction as fit.
+func (l *Ledger) Flush() {
+	if l.lost || l.settling {
+		return
+	}
+	var batch []*chunk
+	var t protocol.Txn
+	send := func() {
+		if len(batch) == 0 {
+			return
+		}
+		l.writeChunks(t, batch)
+		batch, t = nil, protocol.Txn{}
+	}
+	for k, c := range l.chunks {
+		if !c.dirty || c.writing {
+			continue
+		}
+		t.Then = append(t.Then, protocol.Change{Put: l.doneKey(k),
+			Value: l.store.codec.Encode(base64.StdEncoding.EncodeToString(c.bits))})
+		batch = append(batch, c)
+		if len(batch) >= l.store.limits.TxnOps {
+			send()
+		}
+	}
+	send()
+}
+
+func (l *Ledger) writeChunks(t protocol.Txn, batch []*chunk) {
+	waiters := make([][]func(), len(batch))
+	for i, c := range batch {
+		c.dirty, c.writing = false, true
+		waiters[i], c.waiters = c.waiters, nil
+	}
+	l.write(t, false, true, func(r TxnResult) {
+		for i, c := range batch {
+			c.writing = false
+			if c.closed {
+				continue
+			}
+			if r.Outcome != Applied {
+				c.dirty = true
+				c.waiters = append(waiters[i], c.waiters...)
+				continue
+			}
+			for _, fn := range waiters[i] {
+				fn()
+			}
+		}
+	})
+}
+
+// Recover reads the ledger's unfinished jobs with their finished tasks.
+func (l *Ledger) Recover(done func([]RecoveredJob)) {
+	l.store.List(ownPrefix+l.name+"/", func(items []protocol.Pair, _ uint64, ok bool) {
+		if l.lost {
+			return
+		}
+		if !ok {
+			l.store.After(retryPause, func() { l.retryRecover(done) })
+			return
+		}
+		jobs := decodeOwn(l.store.codec, items)
+		l.store.List(donePrefix+l.name+"/", func(items []protocol.Pair, _ uint64, ok bool) {
+			if l.lost {
+				return
+			}
+			if !ok {
+				l.store.After(retryPause, func() { l.retryRecover(done) })
+				return
+			}
+			l.readChunks(jobs, items)
+			done(jobs)
+		})
+	})
+}
+
+func (l *Ledger) retryRecover(done func([]RecoveredJob)) {
+	if !l.lost {
+		l.Recover(done)
+	}
+}
+
+func decodeOwn(codec *protocol.Codec, items []protocol.Pair) []RecoveredJob {
+	var jobs []RecoveredJob
+	for _, it := range items {
+		var o OwnRecord
+		if codec.Decode(it.Value, &o) == nil {
+			jobs = append(jobs, RecoveredJob{Job: o.Job, AtMs: o.AtMs, Done: make([]bool, o.Job.Tasks)})
+		}
+	}
+	return jobs
+}
+
+func (l *Ledger) readChunks(jobs []RecoveredJob, items []protocol.Pair) {
+	index := make(map[string]int, len(jobs))
+	for i := range jobs {
+		index[jobs[i].Job.ID] = i
+	}
+	for _, it := range items {
+		rest, _ := strings.CutPrefix(it.Key, donePrefix+l.name+"/")
+		id, num, _ := strings.Cut(rest, "/")
+		n, err := strconv.Atoi(num)
+		i, known := index[id]
+		if err != nil || !known {
+			continue // left over from a job that has ended
+		}
+		bits, err := base64.StdEncoding.DecodeString(l.store.codec.Text(it.Value))
+		if err != nil {
+			continue
+		}
+		l.chunks[chunkKey{id, n}] = &chunk{bits: bits}
+		for b := range len(bits) * 8 {
+			if t := n*chunkTasks + b; bits[b/8]&(1<<(b%8)) != 0 && t < len(jobs[i].Done) {
+				jobs[i].Done[t] = true
+			}
+		}
+	}
+}
+
+// Unfinished reads the jobs of a ledger that another member holds.
+func (s *Store) Unfinished(ledger string, done func(jobs []RecoveredJob, ok bool)) {
+	s.List(ownPrefix+ledger+"/", func(items []protocol.Pair, _ uint64, ok bool) {
+		done(decodeOwn(s.codec, items), ok)
+	})
+}
+
+// Job reads a job's record afresh.
+func (s *Store) Job(id string, done func(rec JobRecord, found, ok bool)) {
+	s.Get(false, JobKey(id), func(p protocol.Pair, found, ok bool) {
+		var rec JobRecord
+		if found && s.codec.Decode(p.Value, &rec) != nil {
+			done(rec, false, false)
+			return
+		}
+		done(rec, found, ok)
+	})
+}
+
+// FlushEvery is how long finished tasks gather before they are written.
+const FlushEvery = 150 * time.Millisecond
+
+func setBit(bits []byte, n int) []byte {
+	for len(bits) <= n/8 {
+		bits = append(bits, 0)
+	}
+	bits[n/8] |= 1 << (n % 8)
+	return bits
+}
--- /dev/null
+++ b/internal/bookkeeping/store.go
@@ -0,0 +1,328 @@
+// Package bookkeeping keeps what has to outlive a process in the state
+// service: ledgers, jobs and finished task ranges. It spaces requests so that
+// all controllers together stay within the service's rates, settles
+// transactions that got no answer, and reads everything back on recovery.
+//
+// Nothing in it is safe for concurrent use: the goroutine that owns the
+// controller's state calls it and receives its callbacks.
+package bookkeeping
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+)
+
+// Result is the outcome of one call to an outside service. Without a Status
+// the call got no answer; unless NotSent it may have been executed, or may
+// still be executed later.
+type Result struct {
+	Status  int
+	Body    []byte
+	NotSent bool
+}
+
+// Caller sends one request and calls done once, on the owning goroutine.
+type Caller interface {
+	Call(method, path string, body []byte, timeout time.Duration, done func(Result))
+}
+
+// Clock is the steady clock.
+type Clock interface {
+	Now() time.Duration
+}
+
+// Limits holds this process's share of the state service's rates.
+type Limits struct {
+	RPS, WriteRPS float64
+	TxnOps        int
+	Timeout       time.Duration
+}
+
+const (
+	maxQueue   = 512
+	retryPause = 300 * time.Millisecond
+)
+
+// bucket is a token bucket that holds at most a second's worth.
+type bucket struct {
+	rate, level float64
+	at          time.Duration
+}
+
+func (b *bucket) fill(now time.Duration) {
+	b.level = math.Min(math.Max(b.rate, 1), b.level+b.rate*(now-b.at).Seconds())
+	b.at = now
+}
+
+type request struct {
+	method, path string
+	body         []byte
+	writes       int
+	timeout      time.Duration
+	done         func(Result)
+}
+
+// Store is the state service as seen from this process.
+type Store struct {
+	caller  Caller
+	clock   Clock
+	codec   *protocol.Codec
+	limits  Limits
+	later   func(func())
+	queue   []request
+	reads   bucket
+	writes  bucket
+	lastOK  time.Duration
+	failing bool
+	delayed []delayedCall
+}
+
+type delayedCall struct {
+	at time.Duration
+	fn func()
+}
+
+// NewStore prepares a store. later runs a function after the present one has
+// returned, so that no callback runs inside the call that caused it.
+func NewStore(caller Caller, clock Clock, codec *protocol.Codec, limits Limits, later func(func())) *Store {
+	now := clock.Now()
+	return &Store{
+		caller: caller, clock: clock, codec: codec, limits: limits, later: later,
+		reads:  bucket{rate: limits.RPS, level: limits.RPS, at: now},
+		writes: bucket{rate: limits.WriteRPS, level: limits.WriteRPS, at: now},
+		lastOK: now,
+	}
+}
+
+// Failing tells whether the last answer was a refusal or none at all.
+func (s *Store) Failing() bool { return s.failing }
+
+// LastOK is when the service last served this process.
+func (s *Store) LastOK() time.Duration { return s.lastOK }
+
+// MaxOps is the number of changes that one transaction may hold.
+func (s *Store) MaxOps() int { return s.limits.TxnOps }
+
+// Codec returns the codec of the state service's messages.
+func (s *Store) Codec() *protocol.Codec { return s.codec }
+
+// Poll sends what the rates allow by now. It is called on every tick.
+func (s *Store) Poll() {
+	now := s.clock.Now()
+	for i := 0; i < len(s.delayed); {
+		if s.delayed[i].at <= now {
+			fn := s.delayed[i].fn
+			s.delayed = append(s.delayed[:i], s.delayed[i+1:]...)
+			fn()
+			continue
+		}
+		i++
+	}
+	s.pump()
+}
+
+// After runs fn once the pause has passed.
+func (s *Store) After(pause time.Duration, fn func()) {
+	s.delayed = append(s.delayed, delayedCall{at: s.clock.Now() + pause, fn: fn})
+}
+
+func (s *Store) pump() {
+	now := s.clock.Now()
+	s.reads.fill(now)
+	s.writes.fill(now)
+	for len(s.queue) > 0 {
+		r := s.queue[0]
+		need := math.Min(float64(r.writes), math.Max(s.writes.rate, 1))
+		if s.reads.level < 1 || (r.writes > 0 && s.writes.level < need) {
+			return
+		}
+		s.queue = s.queue[1:]
+		s.send(r)
+	}
+}
+
+func (s *Store) send(r request) {
+	s.reads.level--
+	s.writes.level -= float64(r.writes)
+	s.caller.Call(r.method, r.path, r.body, r.timeout, func(res Result) {
+		if res.Status == 0 || res.Status == 503 {
+			s.failing = true
+		} else {
+			s.failing = false
+			if res.Status != 429 {
+				s.lastOK = s.clock.Now()
+			}
+		}
+		r.done(res)
+	})
+}
+
+// submit queues a request; an urgent one goes out at once, whatever the
+// buckets hold, and is made up for by those behind it.
+func (s *Store) submit(urgent bool, r request) {
+	if r.timeout == 0 {
+		r.timeout = s.limits.Timeout
+	}
+	if urgent {
+		s.send(r)
+		return
+	}
+	if len(s.queue) >= maxQueue {
+		s.later(func() { r.done(Result{NotSent: true}) })
+		return
+	}
+	s.queue = append(s.queue, r)
+	s.pump()
+}
+
+// Outcome is what became of a transaction.
+type Outcome uint8
+
+// The outcomes. Refused was surely not executed; Unknown may have been, or may be later.
+const (
+	Applied Outcome = iota + 1
+	Conflict
+	NoLease
+	Refused
+	Unknown
+	Invalid
+)
+
+// TxnResult is a transaction's outcome with what the service said of it.
+type TxnResult struct {
+	Outcome  Outcome
+	Revision uint64
+	Failed   []string
+}
+
+// FailedOn tells whether the condition on key was among those not met.
+func (r TxnResult) FailedOn(key string) bool {
+	for _, k := range r.Failed {
+		if k == key {
+			return true
+		}
+	}
+	return false
+}
+
+// Txn sends a transaction.
+func (s *Store) Txn(urgent bool, t protocol.Txn, done func(TxnResult)) {
+	if t.If == nil {
+		t.If = []protocol.Condition{}
+	}
+	if t.Then == nil {
+		t.Then = []protocol.Change{}
+	}
+	s.submit(urgent, request{method: "POST", path: "/multi", body: s.codec.Encode(t), writes: len(t.Then),
+		done: func(r Result) { done(s.txnResult(r)) }})
+}
+
+func (s *Store) txnResult(r Result) TxnResult {
+	switch {
+	case r.NotSent:
+		return TxnResult{Outcome: Refused}
+	case r.Status == 0:
+		return TxnResult{Outcome: Unknown}
+	}
+	var a protocol.TxnAnswer
+	if err := s.codec.Decode(r.Body, &a); err != nil && (r.Status == 200 || r.Status == 409) {
+		return TxnResult{Outcome: Unknown}
+	}
+	switch r.Status {
+	case 200:
+		return TxnResult{Outcome: Applied, Revision: a.Revision}
+	case 409:
+		return TxnResult{Outcome: Conflict, Revision: a.Revision, Failed: a.Failed}
+	case 400:
+		if a.Error == "no such lease" {
+			return TxnResult{Outcome: NoLease}
+		}
+		return TxnResult{Outcome: Invalid}
+	case 429, 503:
+		return TxnResult{Outcome: Refused}
+	}
+	return TxnResult{Outcome: Unknown}
+}
+
+// Get reads one key. ok is false when the service gave no usable answer.
+func (s *Store) Get(urgent bool, key string, done func(p protocol.Pair, found, ok bool)) {
+	s.submit(urgent, request{method: "GET", path: "/kv/" + key, done: func(r Result) {
+		var p protocol.Pair
+		switch {
+		case r.Status == 404:
+			done(p, false, true)
+		case r.Status == 200 && s.codec.Decode(r.Body, &p) == nil:
+			done(p, true, true)
+		default:
+			done(p, false, false)
+		}
+	}})
+}
+
+// List reads all keys with a prefix, page by page. ok is false when a page
+// could not be had.
+func (s *Store) List(prefix string, done func(items []protocol.Pair, revision uint64, ok bool)) {
+	s.list(prefix, "", nil, 0, done)
+}
+
+func (s *Store) list(prefix, from string, got []protocol.Pair, rev uint64, done func([]protocol.Pair, uint64, bool)) {
+	path := "/kv?under=" + prefix + "&limit=500"
+	if from != "" {
+		path += "&from=" + from
+	}
+	s.submit(false, request{method: "GET", path: path, timeout: 3 * s.limits.Timeout, done: func(r Result) {
+		var page protocol.Pairs
+		if r.Status != 200 || s.codec.Decode(r.Body, &page) != nil {
+			done(nil, 0, false)
+			return
+		}
+		got = append(got, page.Items...)
+		if rev == 0 {
+			rev = page.Revision
+		}
+		if page.More && len(page.Items) > 0 {
+			s.list(prefix, page.Items[len(page.Items)-1].Key, got, rev, done)
+			return
+		}
+		done(got, rev, true)
+	}})
+}
+
+// Watch waits for changes under a prefix. gone says that the revision is too
+// old and everything must be read again.
+func (s *Store) Watch(prefix string, from uint64, hold time.Duration, done func(ev protocol.Events, gone, ok bool)) {
+	path := "/watch?under=" + prefix + "&from=" + strconv.FormatUint(from, 10) + "&holdMs=" + strconv.FormatInt(hold.Milliseconds(), 10)
+	s.submit(true, request{method: "GET", path: path, timeout: hold + 2*s.limits.Timeout, done: func(r Result) {
+		var ev protocol.Events
+		switch {
+		case r.Status == 410:
+			done(ev, true, false)
+		case r.Status == 200 && s.codec.Decode(r.Body, &ev) == nil:
+			done(ev, false, true)
+		default:
+			done(ev, false, false)
+		}
+	}})
+}
+
+// OpenLease asks for a state lease; 0 means that there is none.
+func (s *Store) OpenLease(ttl time.Duration, done func(lease uint64)) {
+	s.submit(true, request{method: "POST", path: "/leases", body: s.codec.Encode(protocol.LeaseRequest{TTLMs: ttl.Milliseconds()}),
+		done: func(r Result) {
+			var a protocol.LeaseAnswer
+			if r.Status != 200 || s.codec.Decode(r.Body, &a) != nil {
+				done(0)
+				return
+			}
+			done(a.Lease)
+		}})
+}
+
+// Touch renews a lease. lost says that the lease has ended for good.
+func (s *Store) Touch(lease uint64, timeout time.Duration, done func(ok, lost bool)) {
+	s.submit(true, request{method: "POST", path: "/leases/" + strconv.FormatUint(lease, 10) + "/touch", timeout: timeout,
+		done: func(r Result) { done(r.Status == 200, r.Status == 404) }})
+}
--- /dev/null
+++ b/internal/coordination/core.go
@@ -0,0 +1,305 @@
+// Package coordination is the core of a controller: leadership, ownership of
+// jobs, placement, renting and recovery. All of its state belongs to one
+// goroutine; the world reaches it as commands on a queue and it reaches the
+// world through the interfaces of Env. It knows nothing of sockets.
+package coordination
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+	"github.com/cobaltvale/cobaltvale/internal/settings"
+)
+
+// Link is an ordered stream of frames to another member, until it is down.
+type Link interface {
+	Send(*meshpb.Frame)
+	Close()
+}
+
+// Env is the outside world.
+type Env struct {
+	Clock bookkeeping.Clock
+	Wall  func() time.Time
+	Rand  *rand.Rand
+	State bookkeeping.Caller
+	Cloud bookkeeping.Caller
+	Log   zerolog.Logger
+}
+
+// Request is one HTTP request to this node.
+type Request struct {
+	Method, Path string
+	Body         []byte
+}
+
+// Response is its answer.
+type Response struct {
+	Status      int
+	Body        []byte
+	RetryAfterS int
+}
+
+// Margins of time.
+const (
+	actMargin   = 400 * time.Millisecond // a holder stops this long before its lease may end
+	driftFactor = 1.0015                 // two clocks, each up to 0.05% off, with room to spare
+	answerTime  = 4 * time.Second        // workers drop answers that are older
+	beatEvery   = time.Second
+)
+
+// Core is the state of one controller.
+type Core struct {
+	env   Env
+	cfg   *settings.File
+	tune  settings.Tuning
+	codec *protocol.Codec
+	store *bookkeeping.Store
+	log   zerolog.Logger
+
+	incarnation uint64
+	me          bookkeeping.Holder
+
+	deferred []func()
+	inbox    []localFrame
+
+	session session
+	peers   map[string]*peer
+	self    *peer
+	byLink  map[Link]*peer
+
+	owner  owner
+	users  users
+	leader *leader // nil unless this process holds the leader key
+	stream stream
+	fleet  fleet // what the cloud says; every node keeps the catalogue
+
+	lastBeat  time.Duration
+	lastFlush time.Duration
+}
+
+// peer is a member as this one sees it; self is one of them, reached by a
+// link that loops back.
+type peer struct {
+	member      string
+	link        Link // nil while down
+	incarnation uint64
+	stateOK     bool
+	heard       time.Duration
+	downSince   time.Duration
+}
+
+type localFrame struct {
+	f *meshpb.Frame
+}
+
+// localLink delivers frames to this very process, after the command that
+// sent them.
+type localLink struct{ c *Core }
+
+func (l localLink) Send(f *meshpb.Frame) { l.c.inbox = append(l.c.inbox, localFrame{f}) }
+
+func (localLink) Close() {}
+
+// New builds a core. incarnation tells this process from earlier ones of the
+// same member.
+func New(cfg *settings.File, tune settings.Tuning, env Env, incarnation uint64) (*Core, error) {
+	codec, err := protocol.NewCodec()
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{
+		env: env, cfg: cfg, tune: tune, codec: codec, log: env.Log, incarnation: incarnation,
+		me:     bookkeeping.Holder{Member: cfg.Member, Nonce: strconv.FormatUint(incarnation, 36)},
+		peers:  make(map[string]*peer),
+		byLink: make(map[Link]*peer),
+	}
+	share := tune.WriteShare / float64(1+len(cfg.Known))
+	c.store = bookkeeping.NewStore(env.State, env.Clock, codec, bookkeeping.Limits{
+		RPS: cfg.Settings.State.RPS * share, WriteRPS: cfg.Settings.State.WriteRPS * share,
+		TxnOps: cfg.Settings.State.TxnOps, Timeout: tune.RequestTimeout,
+	}, c.later)
+	now := env.Clock.Now()
+	for _, p := range cfg.Known {
+		c.peers[p.Member] = &peer{member: p.Member, downSince: now}
+	}
+	c.self = &peer{member: cfg.Member, link: localLink{c}, incarnation: incarnation, stateOK: true}
+	c.owner.init(c)
+	c.users.init(c)
+	c.stream.c = c
+	c.stream.reset()
+	c.fleet.init(c)
+	c.session.init(c)
+	return c, nil
+}
+
+func (c *Core) now() time.Duration { return c.env.Clock.Now() }
+
+func (c *Core) later(fn func()) { c.deferred = append(c.deferred, fn) }
+
+// EndBatch runs what the commands of a batch left to do.
+func (c *Core) EndBatch() {
+	for len(c.deferred) > 0 || len(c.inbox) > 0 {
+		if len(c.inbox) > 0 {
+			f := c.inbox[0]
+			c.inbox = c.inbox[1:]
+			c.onFrame(c.self, f.f)
+			continue
+		}
+		fn := c.deferred[0]
+		c.deferred = c.deferred[1:]
+		fn()
+	}
+	c.owner.publish()
+	for len(c.inbox) > 0 {
+		f := c.inbox[0]
+		c.inbox = c.inbox[1:]
+		c.onFrame(c.self, f.f)
+	}
+	c.inbox, c.deferred = nil, nil
+}
+
+// Tick does what time asks for. It is called about ten times a second.
+func (c *Core) Tick() {
+	now := c.now()
+	c.store.Poll()
+	c.session.tick(now)
+	if now-c.lastBeat >= beatEvery {
+		c.lastBeat = now
+		c.beat(now)
+	}
+	if now-c.lastFlush >= bookkeeping.FlushEvery {
+		c.lastFlush = now
+		c.owner.flush()
+	}
+	c.owner.tick(now)
+	c.users.tick(now)
+	c.fleet.tick(now)
+	if c.leader != nil {
+		c.leader.tick(now)
+	}
+}
+
+// beat tells every member that this one lives and, from a leader that may
+// act, up to when all its reports have been passed on.
+func (c *Core) beat(now time.Duration) {
+	b := &meshpb.Beat{StateOk: c.session.mayAct(now)}
+	if c.leader != nil && c.session.mayAct(now) {
+		b.Token, b.ClockUs, b.LeaderOk = c.leader.token, now.Microseconds(), true
+	}
+	f := &meshpb.Frame{Body: &meshpb.Frame_Beat{Beat: b}}
+	for _, p := range c.peers {
+		if p.link != nil {
+			p.link.Send(f)
+		}
+	}
+	c.self.link.Send(f)
+}
+
+// LinkUp tells that a stream to a member has begun.
+func (c *Core) LinkUp(l Link, member string, incarnation uint64) {
+	p := c.peers[member]
+	if p == nil {
+		l.Close()
+		return
+	}
+	if p.link != nil {
+		c.LinkDown(p.link)
+	}
+	p.link, p.incarnation, p.heard = l, incarnation, c.now()
+	c.byLink[l] = p
+	c.stream.join()
+}
+
+// LinkDown tells that a stream has ended.
+func (c *Core) LinkDown(l Link) {
+	p := c.byLink[l]
+	if p == nil {
+		return
+	}
+	delete(c.byLink, l)
+	p.link, p.downSince, p.stateOK = nil, c.now(), false
+	if c.leader != nil {
+		c.leader.peerDown(p)
+	}
+	if c.stream.from == p {
+		c.stream.reset()
+	}
+	c.users.peerDown(p)
+}
+
+// LinkFrame takes one frame of a stream.
+func (c *Core) LinkFrame(l Link, f *meshpb.Frame) {
+	if p := c.byLink[l]; p != nil {
+		c.onFrame(p, f)
+	}
+}
+
+func (c *Core) onFrame(p *peer, f *meshpb.Frame) {
+	p.heard = c.now()
+	switch b := f.Body.(type) {
+	case *meshpb.Frame_Beat:
+		p.stateOK = b.Beat.StateOk
+		if b.Beat.LeaderOk {
+			c.stream.onBeat(p, b.Beat)
+		}
+	case *meshpb.Frame_Joined:
+		c.stream.onJoined(p, b.Joined)
+	case *meshpb.Frame_Report:
+		c.stream.onReport(p, b.Report)
+	case *meshpb.Frame_Offer:
+		c.stream.onOffer(p, b.Offer)
+	case *meshpb.Frame_Unplaced:
+		c.stream.onUnplaced(p, b.Unplaced)
+	case *meshpb.Frame_Gone:
+		c.stream.onGone(p, b.Gone)
+	case *meshpb.Frame_Settled:
+		c.stream.onSettled(p, b.Settled)
+	case *meshpb.Frame_Join:
+		if c.leader != nil {
+			c.leader.onJoin(p, b.Join)
+		}
+	case *meshpb.Frame_Demand:
+		if c.leader != nil {
+			c.leader.onDemand(p, b.Demand)
+		}
+	case *meshpb.Frame_Picks:
+		if c.leader != nil {
+			c.leader.onPicks(p, b.Picks)
+		}
+	case *meshpb.Frame_Orders:
+		if c.leader != nil {
+			c.leader.onOrders(p, b.Orders)
+		}
+	case *meshpb.Frame_Ask:
+		c.users.onAsk(p, b.Ask)
+	case *meshpb.Frame_Answer:
+		c.users.onAnswer(p, b.Answer)
+	case *meshpb.Frame_Handover:
+		c.session.onHandover(p, b.Handover)
+	}
+}
+
+// team returns the settings of a team.
+func (c *Core) team(name string) *settings.Team {
+	for i := range c.cfg.Settings.Teams {
+		if c.cfg.Settings.Teams[i].Name == name {
+			return &c.cfg.Settings.Teams[i]
+		}
+	}
+	return nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// leaseSpan is how long after a report's arrival its worker's lease has
+// surely ended.
+func (c *Core) leaseSpan() time.Duration {
+	return seconds(c.cfg.Settings.Workers.LeaseS*driftFactor) + answerTime
+}
--- /dev/null
+++ b/internal/coordination/fleet.go
@@ -0,0 +1,154 @@
+package coordination
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+)
+
+const (
+	catalogEvery   = 60 * time.Second
+	catalogLeading = 10 * time.Second
+	cloudTimeout   = 4 * time.Second
+	cloudRetry     = 1500 * time.Millisecond
+	listPage       = 500
+)
+
+// fleet is what the cloud says. Every node keeps the catalogue, to judge
+// submissions; only the leader reads the list and changes the fleet.
+type fleet struct {
+	c       *Core
+	types   map[string]*protocol.MachineType
+	asking  bool
+	nextAsk time.Duration
+
+	listing  bool
+	nextList time.Duration
+	listed   map[string]listedMachine
+	listedAt time.Duration // when the list that is held was asked for
+
+	level float64 // calls that the cloud's rate allows now
+	at    time.Duration
+}
+
+type listedMachine struct {
+	protocol.ListedMachine
+	seenAt time.Duration
+	since  time.Duration // first listed as running
+}
+
+func (f *fleet) init(c *Core) {
+	f.c = c
+	f.types = make(map[string]*protocol.MachineType)
+	f.listed = make(map[string]listedMachine)
+	f.level = 1
+}
+
+// allow takes one call from this process's share of the cloud's rate: the
+// leader has most of it, the others enough for the catalogue.
+func (f *fleet) allow(now time.Duration) bool {
+	rate := f.c.cfg.Settings.Cloud.RPS
+	if f.c.leader != nil {
+		rate *= 0.75
+	} else {
+		rate *= 0.25 / float64(max(1, len(f.c.cfg.Known)))
+	}
+	f.level = min(max(1, rate), f.level+rate*(now-f.at).Seconds())
+	f.at = now
+	if f.level < 1 {
+		return false
+	}
+	f.level--
+	return true
+}
+
+func (f *fleet) tick(now time.Duration) {
+	if !f.asking && now >= f.nextAsk && f.allow(now) {
+		f.asking = true
+		f.c.env.Cloud.Call("GET", "/catalog", nil, cloudTimeout, func(r bookkeeping.Result) {
+			f.asking = false
+			var cat protocol.Catalog
+			if r.Status != 200 || f.c.codec.Decode(r.Body, &cat) != nil || len(cat.Types) == 0 {
+				f.nextAsk = f.c.now() + cloudRetry
+				return
+			}
+			f.nextAsk = f.c.now() + catalogEvery
+			if f.c.leader != nil {
+				f.nextAsk = f.c.now() + catalogLeading
+			}
+			f.types = make(map[string]*protocol.MachineType, len(cat.Types))
+			for i := range cat.Types {
+				f.types[cat.Types[i].Name] = &cat.Types[i]
+			}
+		})
+	}
+	if f.c.leader != nil && !f.listing && now >= f.nextList && f.allow(now) {
+		f.listing = true
+		f.list(f.c.leader, "", nil, now)
+	}
+}
+
+// list reads the machine list page by page.
+func (f *fleet) list(l *leader, from string, got []protocol.ListedMachine, began time.Duration) {
+	path := "/hosts?limit=" + strconv.Itoa(listPage)
+	if from != "" {
+		path += "&from=" + from
+	}
+	f.c.env.Cloud.Call("GET", path, nil, cloudTimeout, func(r bookkeeping.Result) {
+		var page protocol.MachineList
+		if f.c.leader != l || r.Status != 200 || f.c.codec.Decode(r.Body, &page) != nil {
+			f.listing = false
+			f.nextList = f.c.now() + cloudRetry
+			return
+		}
+		got = append(got, page.Machines...)
+		if page.More && len(page.Machines) > 0 && len(got) < maxMachines {
+			f.list(l, page.Machines[len(page.Machines)-1].ID, got, began)
+			return
+		}
+		f.listing = false
+		f.nextList = f.c.now() + max(2*time.Second, seconds(f.c.cfg.Settings.Cloud.ListLagS/3))
+		f.take(l, got, began)
+	})
+}
+
+// take compares a whole list with what is known. Lists lag and may go back in
+// time, so a machine that is missing proves nothing.
+func (f *fleet) take(l *leader, got []protocol.ListedMachine, began time.Duration) {
+	now := f.c.now()
+	f.listedAt = began
+	fresh := make(map[string]listedMachine, len(got))
+	for _, g := range got {
+		e := listedMachine{ListedMachine: g, seenAt: now, since: now}
+		if old, ok := f.listed[g.ID]; ok && old.Status == "running" {
+			e.since = old.since
+		}
+		fresh[g.ID] = e
+		m := l.machines[g.ID]
+		if m == nil && len(l.machines) < maxMachines {
+			m = &machine{name: g.ID, typ: g.Type, zone: g.Zone, spot: g.Spot}
+			l.machines[g.ID] = m
+		}
+		if g.Status == "failed" && m != nil {
+			l.goneForGood(m)
+		}
+	}
+	f.listed = fresh
+	// A list that was asked for this long after the start of leadership holds
+	// every machine that was rented before it.
+	if began > l.since+seconds(2*f.c.cfg.Settings.Cloud.ListLagS)+time.Second {
+		l.roster = true
+	}
+	l.rent.onList(now)
+}
+
+// runningFor is how long a machine has been listed as running.
+func (f *fleet) runningFor(name string, now time.Duration) time.Duration {
+	e, ok := f.listed[name]
+	if !ok || e.Status != "running" {
+		return 0
+	}
+	return now - e.since
+}
--- /dev/null
+++ b/internal/coordination/session.go
@@ -0,0 +1,420 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+)
+
+const (
+	watchHold      = 8 * time.Second
+	sessionRetry   = 400 * time.Millisecond
+	takeoverAfter  = 1500 * time.Millisecond // a free ledger is left this long to its own member
+	handoverEvery  = time.Second
+	abstainFor     = 25 * time.Second
+	cutOffAfter    = 6 * time.Second // without a stream from the leader, an owner gives its ledgers up
+	electionJitter = 250 * time.Millisecond
+)
+
+// heldKey is a leader or ledger key as the watch shows it.
+type heldKey struct {
+	present bool
+	holder  bookkeeping.Holder
+	stamp   uint64
+	since   time.Duration // when it was last seen to change
+}
+
+// session is this process's one state lease, and its view of who holds the
+// leader key and the ledgers.
+type session struct {
+	c       *Core
+	lease   uint64
+	opening bool
+	retryAt time.Duration
+
+	goodSent  time.Duration // when the last good renewal was sent
+	nextTouch time.Duration
+	touching  int
+
+	viewOK   bool
+	revision uint64
+	listing  bool
+	watching bool
+	leaderK  heldKey
+	ledgers  map[string]*heldKey
+
+	claiming   map[string]bool
+	electAt    time.Duration
+	abstainTo  time.Duration
+	handoverAt time.Duration
+	joinedAt   time.Duration // when this member last had a stream from the leader
+}
+
+func (s *session) init(c *Core) {
+	s.c = c
+	s.ledgers = make(map[string]*heldKey)
+	s.claiming = make(map[string]bool)
+	now := c.now()
+	s.ledgers[c.cfg.Member] = &heldKey{since: now}
+	for _, p := range c.cfg.Known {
+		s.ledgers[p.Member] = &heldKey{since: now}
+	}
+	s.leaderK.since = now
+}
+
+// mayAct tells whether the keys attached to the lease are surely still this
+// process's: the lease is counted from when its last good renewal was sent.
+func (s *session) mayAct(now time.Duration) bool {
+	if s.lease == 0 {
+		return false
+	}
+	ttl := time.Duration(float64(s.c.tune.StateLease) / driftFactor)
+	return now < s.goodSent+ttl-actMargin
+}
+
+// leaderMember is the member that is thought to lead.
+func (s *session) leaderMember() string {
+	if !s.leaderK.present {
+		return ""
+	}
+	return s.leaderK.holder.Member
+}
+
+func (s *session) tick(now time.Duration) {
+	if s.lease == 0 {
+		s.open(now)
+	} else if now >= s.nextTouch && s.touching < 3 {
+		s.touch(now)
+	}
+	s.follow(now)
+	if s.lease == 0 || !s.viewOK || !s.mayAct(now) {
+		return
+	}
+	if s.c.stream.from != nil || !s.leaderK.present || s.leaderK.holder.Member == s.c.cfg.Member {
+		s.joinedAt = now
+	}
+	if now-s.joinedAt > cutOffAfter {
+		s.yieldLedgers()
+	} else {
+		s.claimLedgers(now)
+	}
+	s.elect(now)
+}
+
+// yieldLedgers gives up every ledger of a member that the leader cannot
+// reach: nothing of them could be started, and tasks of jobs that users
+// cancel here would go on running.
+func (s *session) yieldLedgers() {
+	for name := range s.c.owner.ledgers {
+		s.c.log.Error().Str("ledger", name).Msg("cut off from the leader, giving ledger up")
+		s.giveUp(name)
+	}
+}
+
+func (s *session) open(now time.Duration) {
+	if s.opening || now < s.retryAt {
+		return
+	}
+	s.opening = true
+	s.c.store.OpenLease(s.c.tune.StateLease, func(lease uint64) {
+		s.opening = false
+		if lease == 0 {
+			s.retryAt = s.c.now() + sessionRetry
+			return
+		}
+		s.lease, s.goodSent = lease, now
+		s.nextTouch = now + s.c.tune.StateLease/5
+		s.c.log.Info().Uint64("lease", lease).Msg("state lease opened")
+	})
+}
+
+func (s *session) touch(now time.Duration) {
+	lease := s.lease
+	s.nextTouch = now + s.c.tune.StateLease/5
+	s.touching++
+	s.c.store.Touch(lease, s.c.tune.StateLease/2, func(ok, lost bool) {
+		s.touching--
+		switch {
+		case lease != s.lease:
+		case ok:
+			s.goodSent = max(s.goodSent, now)
+		case lost:
+			s.c.log.Error().Uint64("lease", lease).Msg("state lease lost, starting over")
+			s.end()
+		}
+	})
+}
+
+// end gives up everything that hung on the lease.
+func (s *session) end() {
+	s.lease = 0
+	s.claiming = make(map[string]bool)
+	s.c.dropLeadership()
+	s.c.owner.dropAll()
+}
+
+// follow keeps the view of the keys up to date.
+func (s *session) follow(now time.Duration) {
+	if !s.viewOK {
+		if s.listing || now < s.retryAt {
+			return
+		}
+		s.listing = true
+		s.c.store.List(bookkeeping.MemberPrefix, func(items []protocol.Pair, rev uint64, ok bool) {
+			s.listing = false
+			if !ok {
+				s.retryAt = s.c.now() + sessionRetry
+				return
+			}
+			s.revision = rev
+			s.load(items)
+			s.viewOK = true
+		})
+		return
+	}
+	if s.watching || now < s.retryAt {
+		return
+	}
+	s.watching = true
+	s.c.store.Watch(bookkeeping.MemberPrefix, s.revision, watchHold, func(ev protocol.Events, gone, ok bool) {
+		s.watching = false
+		if !ok {
+			s.retryAt = s.c.now() + sessionRetry
+			s.viewOK = !gone && s.viewOK
+			return
+		}
+		for _, e := range ev.Events {
+			if e.Put != "" {
+				s.see(e.Put, e.Value, e.Stamp, true)
+			} else {
+				s.see(e.Delete, nil, e.Stamp, false)
+			}
+		}
+		s.revision = max(s.revision, ev.Revision)
+		s.c.stream.join()
+		s.follow(s.c.now())
+		s.tick(s.c.now())
+	})
+}
+
+func (s *session) load(items []protocol.Pair) {
+	seen := make(map[string]bool, len(items))
+	for _, it := range items {
+		seen[it.Key] = true
+		s.see(it.Key, it.Value, it.Stamp, true)
+	}
+	if !seen[bookkeeping.LeaderKey] {
+		s.see(bookkeeping.LeaderKey, nil, s.revision, false)
+	}
+	for name := range s.ledgers {
+		if key := bookkeeping.LedgerKey(name); !seen[key] {
+			s.see(key, nil, s.revision, false)
+		}
+	}
+	s.c.stream.join()
+}
+
+func (s *session) see(key string, value []byte, stamp uint64, present bool) {
+	k := &s.leaderK
+	if key != bookkeeping.LeaderKey {
+		name, ok := bookkeeping.LedgerOfKey(key)
+		if !ok {
+			return
+		}
+		k = s.ledgers[name]
+		if k == nil {
+			k = &heldKey{}
+			s.ledgers[name] = k
+		}
+	}
+	if stamp < k.stamp || (stamp == k.stamp && k.present == present) {
+		return
+	}
+	var h bookkeeping.Holder
+	if present && s.c.codec.Decode(value, &h) != nil {
+		return
+	}
+	*k = heldKey{present: present, holder: h, stamp: stamp, since: s.c.now()}
+	if key == bookkeeping.LeaderKey {
+		s.electAt = 0
+		if s.c.leader != nil && (!present || h != s.c.me || stamp != s.c.leader.token) {
+			s.c.log.Info().Str("leader", h.Member).Msg("another member leads")
+			s.c.dropLeadership()
+		}
+	} else if l := s.c.owner.ledgers[ledgerName(key)]; l != nil && (!present || h != s.c.me) && stamp > l.book.Stamp() {
+		s.c.log.Info().Str("ledger", l.name).Msg("ledger is another's now")
+		s.c.owner.drop(l.name)
+	}
+}
+
+func ledgerName(key string) string {
+	name, _ := bookkeeping.LedgerOfKey(key)
+	return name
+}
+
+// claimLedgers takes this member's own ledger, and as leader also those whose
+// holders are gone.
+func (s *session) claimLedgers(now time.Duration) {
+	for name, k := range s.ledgers {
+		if s.claiming[name] || s.c.owner.ledgers[name] != nil {
+			continue
+		}
+		mine := name == s.c.cfg.Member
+		switch {
+		case k.present && k.holder.Member == s.c.cfg.Member:
+			// An earlier process of this member held it; that one is over.
+			// (A claim of this process whose answer was lost also ends up here.)
+			s.claim(name, k.stamp)
+		case k.present && mine:
+			if p := s.c.peers[k.holder.Member]; p != nil && p.link != nil && now >= s.handoverAt {
+				s.handoverAt = now + handoverEvery
+				p.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Handover{Handover: &meshpb.Handover{Ledger: name}}})
+			}
+		case !k.present && mine:
+			s.claim(name, 0)
+		case !k.present && s.c.leader != nil && now-k.since > takeoverAfter:
+			if p := s.c.peers[name]; p == nil || p.link == nil || now-k.since > 3*takeoverAfter {
+				s.claim(name, 0)
+			}
+		}
+	}
+}
+
+func (s *session) claim(name string, stamp uint64) {
+	s.claiming[name] = true
+	lease := s.lease
+	key := bookkeeping.LedgerKey(name)
+	s.put(key, stamp, func(r bookkeeping.TxnResult) {
+		if lease != s.lease {
+			return
+		}
+		switch r.Outcome {
+		case bookkeeping.Applied:
+			delete(s.claiming, name)
+			s.see(key, s.c.codec.Encode(s.c.me), r.Revision, true)
+			s.c.owner.adopt(name, lease, r.Revision)
+		case bookkeeping.NoLease:
+			s.end()
+		default:
+			// Without an answer the key may or may not be ours; the fresh
+			// view decides, and a claim of ours that is applied late shows
+			// there as held by this member.
+			s.c.store.Get(true, key, func(p protocol.Pair, found, ok bool) {
+				if lease != s.lease {
+					return
+				}
+				delete(s.claiming, name)
+				if ok && found {
+					s.see(key, p.Value, p.Stamp, true)
+				}
+			})
+		}
+	})
+}
+
+func (s *session) put(key string, stamp uint64, done func(bookkeeping.TxnResult)) {
+	s.c.store.Txn(true, protocol.Txn{
+		If:   []protocol.Condition{{Key: key, Stamp: stamp}},
+		Then: []protocol.Change{{Put: key, Value: s.c.codec.Encode(s.c.me), Lease: s.lease}},
+	}, done)
+}
+
+// elect tries for the leader key when nobody holds it, or an earlier process
+// of this member does.
+func (s *session) elect(now time.Duration) {
+	k := &s.leaderK
+	own := k.present && k.holder.Member == s.c.cfg.Member && s.c.leader == nil
+	if s.claiming[bookkeeping.LeaderKey] || s.c.leader != nil || (k.present && !own) || now < s.abstainTo {
+		return
+	}
+	if s.electAt == 0 {
+		s.electAt = now + time.Duration(s.c.env.Rand.Int64N(int64(electionJitter)))
+		if own {
+			s.electAt = now
+		}
+	}
+	if now < s.electAt {
+		return
+	}
+	s.claiming[bookkeeping.LeaderKey] = true
+	lease, stamp := s.lease, uint64(0)
+	if own {
+		stamp = k.stamp
+	}
+	s.put(bookkeeping.LeaderKey, stamp, func(r bookkeeping.TxnResult) {
+		if lease != s.lease {
+			return
+		}
+		switch r.Outcome {
+		case bookkeeping.Applied:
+			delete(s.claiming, bookkeeping.LeaderKey)
+			s.see(bookkeeping.LeaderKey, s.c.codec.Encode(s.c.me), r.Revision, true)
+			s.c.becomeLeader(r.Revision)
+		case bookkeeping.NoLease:
+			s.end()
+		default:
+			s.electAt = 0
+			s.c.store.Get(true, bookkeeping.LeaderKey, func(p protocol.Pair, found, ok bool) {
+				if lease != s.lease {
+					return
+				}
+				delete(s.claiming, bookkeeping.LeaderKey)
+				if ok && found {
+					s.see(bookkeeping.LeaderKey, p.Value, p.Stamp, true)
+				}
+			})
+		}
+	})
+}
+
+// resign gives the leader key up and stays out for a while, so that the
+// answers which name the leader do not lead everyone back here.
+func (s *session) resign(why string) {
+	if s.c.leader == nil {
+		return
+	}
+	s.c.log.Error().Str("why", why).Msg("giving up leadership")
+	token := s.c.leader.token
+	s.abstainTo = s.c.now() + abstainFor
+	s.c.dropLeadership()
+	s.leaderK = heldKey{stamp: s.leaderK.stamp, since: s.c.now()}
+	s.dropLeaderKey(token)
+}
+
+// dropLeaderKey removes the leader key that this process has given up. It
+// tries until the key is gone: kept alive by the lease, it would keep every
+// other member out.
+func (s *session) dropLeaderKey(token uint64) {
+	s.c.store.Txn(true, protocol.Txn{
+		If:   []protocol.Condition{{Key: bookkeeping.LeaderKey, Stamp: token}},
+		Then: []protocol.Change{{Delete: bookkeeping.LeaderKey}},
+	}, func(r bookkeeping.TxnResult) {
+		if r.Outcome == bookkeeping.Refused || r.Outcome == bookkeeping.Unknown {
+			s.c.store.After(sessionRetry, func() { s.dropLeaderKey(token) })
+		}
+	})
+}
+
+// onHandover gives a ledger back to the member whose name it bears.
+func (s *session) onHandover(p *peer, h *meshpb.Handover) {
+	l := s.c.owner.ledgers[h.Ledger]
+	if l == nil || h.Ledger != p.member {
+		return
+	}
+	s.c.log.Info().Str("ledger", h.Ledger).Msg("handing ledger back")
+	s.giveUp(h.Ledger)
+}
+
+// giveUp releases a ledger's key and forgets the ledger.
+func (s *session) giveUp(name string) {
+	s.claiming[name] = true
+	s.c.owner.ledgers[name].book.Release(func(r bookkeeping.TxnResult) {
+		delete(s.claiming, name)
+		if r.Outcome == bookkeeping.Applied {
+			s.see(bookkeeping.LedgerKey(name), nil, r.Revision, false)
+		}
+	})
+	s.c.owner.drop(name)
+}
--- /dev/null
+++ b/internal/coordination/users.go
@@ -0,0 +1,440 @@
+package coordination
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+)
+
+const (
+	submitTimeout = 3500 * time.Millisecond // users give up after 5 s
+	statusTimeout = 1200 * time.Millisecond // and polls after 2 s
+	askTimeout    = 700 * time.Millisecond
+	finalsKept    = 20000
+	maxAsks       = 2000
+	unreadyAfter  = 3 * time.Second
+)
+
+// ending is a job's final state, which never changes.
+type ending struct {
+	status string
+	tasks  int
+}
+
+// users answers submissions, polls and cancellations.
+type users struct {
+	c      *Core
+	finals map[string]ending
+	order  []string // of finals, the oldest first
+	asks   map[uint64]*ask
+	askSeq uint64
+	timers []timer
+	bad    time.Duration // since when this node could not act
+}
+
+// ask is a question to the member that owns a job.
+type ask struct {
+	to   *peer
+	at   time.Duration
+	done func(a *meshpb.Answer)
+}
+
+type timer struct {
+	at time.Duration
+	fn func()
+}
+
+func (u *users) init(c *Core) {
+	u.c = c
+	u.finals = make(map[string]ending)
+	u.asks = make(map[uint64]*ask)
+}
+
+func (u *users) remember(id, status string, tasks int) {
+	if _, ok := u.finals[id]; ok {
+		return
+	}
+	if len(u.order) >= finalsKept {
+		delete(u.finals, u.order[0])
+		u.order = u.order[1:]
+	}
+	u.finals[id] = ending{status, tasks}
+	u.order = append(u.order, id)
+}
+
+func (u *users) tick(now time.Duration) {
+	for id, a := range u.asks {
+		if now-a.at > askTimeout {
+			delete(u.asks, id)
+			a.done(nil)
+		}
+	}
+	kept := u.timers[:0]
+	var due []func()
+	for _, t := range u.timers {
+		if t.at <= now {
+			due = append(due, t.fn)
+		} else {
+			kept = append(kept, t)
+		}
+	}
+	u.timers = kept
+	for _, fn := range due {
+		fn()
+	}
+}
+
+// within makes reply answer by itself when nothing else has in time.
+func (u *users) within(limit time.Duration, reply func(Response)) func(Response) {
+	over := false
+	once := func(r Response) {
+		if !over {
+			over = true
+			reply(r)
+		}
+	}
+	u.timers = append(u.timers, timer{u.c.now() + limit, func() { once(u.c.refusal(503, "no answer in time", 1)) }})
+	return once
+}
+
+func (c *Core) refusal(status int, why string, retryS int) Response {
+	return Response{Status: status, Body: c.codec.Encode(protocol.ErrorBody{Error: why}), RetryAfterS: retryS}
+}
+
+func (c *Core) status(code int, id, status string, done, running int) Response {
+	return Response{Status: code, Body: c.codec.Encode(protocol.JobStatus{ID: id, Status: status, Done: &done, Running: &running})}
+}
+
+func (c *Core) finalStatus(code int, id string, e ending) Response {
+	done := 0
+	if e.status == protocol.StatusDone {
+		done = e.tasks
+	}
+	return c.status(code, id, e.status, done, 0)
+}
+
+// HandleHTTP takes a request and calls reply once, now or later.
+func (c *Core) HandleHTTP(req *Request, reply func(Response)) {
+	path, _, _ := strings.Cut(req.Path, "?")
+	need := func(method string) bool {
+		if req.Method != method {
+			reply(c.refusal(405, "wrong method", 0))
+			return false
+		}
+		return true
+	}
+	rest, isJob := strings.CutPrefix(path, "/submissions/")
+	switch {
+	case path == "/ready":
+		if need("GET") {
+			c.users.ready(reply)
+		}
+	case path == "/checkin":
+		if need("POST") {
+			c.checkin(req.Body, reply)
+		}
+	case path == "/submissions":
+		if need("POST") {
+			c.users.submit(req.Body, reply)
+		}
+	case isJob && strings.HasSuffix(rest, "/abort") && !strings.Contains(strings.TrimSuffix(rest, "/abort"), "/"):
+		if need("POST") {
+			c.users.abort(strings.TrimSuffix(rest, "/abort"), reply)
+		}
+	case isJob && rest != "" && !strings.Contains(rest, "/"):
+		if need("GET") {
+			c.users.poll(rest, reply)
+		}
+	default:
+		reply(c.refusal(404, "unknown path", 0))
+	}
+}
+
+// ready answers the load balancer. A node that the state service refuses
+// still counts as ready while no other member is better off.
+func (u *users) ready(reply func(Response)) {
+	c, now := u.c, u.c.now()
+	l := c.owner.ledgers[c.cfg.Member]
+	if l != nil && l.ready && c.session.mayAct(now) {
+		u.bad = 0
+		reply(Response{Status: 200})
+		return
+	}
+	if u.bad == 0 {
+		u.bad = now
+	}
+	others := false
+	for _, p := range c.peers {
+		others = others || (p.link != nil && p.stateOK)
+	}
+	if l != nil && l.ready && (!others || now-u.bad < unreadyAfter) {
+		reply(Response{Status: 200})
+		return
+	}
+	reply(c.refusal(503, "not ready", 1))
+}
+
+// submit accepts a job. A known job's retry is answered before anything is
+// held against it.
+func (u *users) submit(body []byte, reply func(Response)) {
+	c := u.c
+	var s protocol.Submission
+	if err := c.codec.Decode(body, &s); err != nil {
+		reply(c.refusal(400, err.Error(), 0))
+		return
+	}
+	job, err := s.Check()
+	if err != nil {
+		reply(c.refusal(400, err.Error(), 0))
+		return
+	}
+	reply = u.within(submitTimeout, reply)
+	if u.known(job.ID, 200, reply) {
+		return
+	}
+	if refused, ok := u.judge(job); !ok {
+		// It may be the retry of a job that was accepted when it could run.
+		u.lookUp(job.ID, 200, refused, reply)
+		return
+	}
+	if l := c.owner.ledgers[c.cfg.Member]; l == nil || !l.ready || !c.session.mayAct(c.now()) || c.store.Failing() {
+		if c.store.Failing() {
+			reply(c.refusal(503, "state service is away", 1))
+			return
+		}
+		u.lookUp(job.ID, 200, c.refusal(503, "not ready to accept", 1), reply)
+		return
+	}
+	c.owner.create(job, c.env.Wall().UnixMilli(), func(r bookkeeping.CreateResult) {
+		switch r {
+		case bookkeeping.Created:
+			reply(c.status(201, job.ID, protocol.StatusPending, 0, 0))
+		case bookkeeping.Exists:
+			u.lookUp(job.ID, 200, c.refusal(503, "state is being read", 1), reply)
+		default:
+			reply(c.refusal(503, "state service is away", 1))
+		}
+	})
+}
+
+// judge says whether a job can ever run.
+func (u *users) judge(job *protocol.Job) (Response, bool) {
+	c := u.c
+	t := c.team(job.Team)
+	if t == nil {
+		return c.refusal(422, "unknown crew", 0), false
+	}
+	if len(c.fleet.types) == 0 {
+		return c.refusal(503, "machine types are not known yet", 1), false
+	}
+	fits := false
+	var known []string
+	for _, mt := range c.fleet.types {
+		fits = fits || job.Fits(mt)
+		if !job.AnyType && job.AllowsType(mt.Name) {
+			known = append(known, mt.Name)
+		}
+	}
+	if !fits {
+		return c.refusal(422, "a page fits no allowed machine type", 0), false
+	}
+	if (t.CPUsMax > 0 && job.CPUs > t.CPUsMax) || (t.GPUsMax > 0 && job.GPUs > t.GPUsMax) {
+		return c.refusal(422, "a page needs more than the crew's limit", 0), false
+	}
+	job.Types = known
+	return Response{}, true
+}
+
+// known answers from what this node holds for certain.
+func (u *users) known(id string, code int, reply func(Response)) bool {
+	c := u.c
+	if e, ok := u.finals[id]; ok {
+		reply(c.finalStatus(code, id, e))
+		return true
+	}
+	j := c.owner.jobs[id]
+	if j == nil || j.ending != "" || !c.session.mayAct(c.now()) {
+		// While the end is being written, other nodes may read it already and
+		// tell it; only a fresh read is sure not to be older than that.
+		return false
+	}
+	reply(c.status(code, id, j.wireStatus(), j.nDone, j.nRun))
+	return true
+}
+
+func (j *ownedJob) wireStatus() string {
+	if j.nRun > 0 {
+		return protocol.StatusRunning
+	}
+	return protocol.StatusPending
+}
+
+// lookUp reads a job's record afresh, and asks its owner if it goes on.
+// Nothing less than a fresh read may say that a job is unknown.
+func (u *users) lookUp(id string, code int, absent Response, reply func(Response)) {
+	c := u.c
+	c.store.Job(id, func(rec bookkeeping.JobRecord, found, ok bool) {
+		switch {
+		case !ok:
+			reply(c.refusal(503, "state service is away", 1))
+		case !found:
+			reply(absent)
+		case rec.Status != "":
+			u.remember(id, rec.Status, rec.Tasks)
+			reply(c.finalStatus(code, id, ending{rec.Status, rec.Tasks}))
+		default:
+			if u.known(id, code, reply) {
+				return
+			}
+			u.askOwner(id, rec.Ledger, false, func(a *meshpb.Answer) {
+				if a == nil || a.Status != 200 {
+					// The record read above is not older than any answer given.
+					reply(c.status(code, id, protocol.StatusPending, 0, 0))
+					return
+				}
+				if a.State == protocol.StatusDone || a.State == protocol.StatusWithdrawn {
+					u.remember(id, a.State, rec.Tasks)
+				}
+				reply(c.status(code, id, a.State, int(a.Done), int(a.Running)))
+			})
+		}
+	})
+}
+
+// poll answers a user's question about a job.
+func (u *users) poll(id string, reply func(Response)) {
+	if !protocol.ValidJobID(id) {
+		reply(u.c.refusal(404, "no such job", 0))
+		return
+	}
+	reply = u.within(statusTimeout, reply)
+	if u.known(id, 200, reply) {
+		return
+	}
+	u.lookUp(id, 200, u.c.refusal(404, "no such job", 0), reply)
+}
+
+// abort cancels a job, here or at its owner.
+func (u *users) abort(id string, reply func(Response)) {
+	c := u.c
+	if !protocol.ValidJobID(id) {
+		reply(c.refusal(404, "no such job", 0))
+		return
+	}
+	reply = u.within(submitTimeout, reply)
+	if e, ok := u.finals[id]; ok {
+		reply(c.finalStatus(200, id, e))
+		return
+	}
+	if j := c.owner.jobs[id]; j != nil {
+		u.withdraw(j, reply)
+		return
+	}
+	c.store.Job(id, func(rec bookkeeping.JobRecord, found, ok bool) {
+		switch {
+		case !ok:
+			reply(c.refusal(503, "state service is away", 1))
+		case !found:
+			reply(c.refusal(404, "no such job", 0))
+		case rec.Status != "":
+			u.remember(id, rec.Status, rec.Tasks)
+			reply(c.finalStatus(200, id, ending{rec.Status, rec.Tasks}))
+		default:
+			if j := c.owner.jobs[id]; j != nil {
+				u.withdraw(j, reply)
+				return
+			}
+			u.askOwner(id, rec.Ledger, true, func(a *meshpb.Answer) {
+				if a == nil || a.Status != 200 || (a.State != protocol.StatusDone && a.State != protocol.StatusWithdrawn) {
+					reply(c.refusal(503, "the job's owner does not answer", 1))
+					return
+				}
+				u.remember(id, a.State, rec.Tasks)
+				reply(c.status(200, id, a.State, int(a.Done), 0))
+			})
+		}
+	})
+}
+
+func (u *users) withdraw(j *ownedJob, reply func(Response)) {
+	u.c.owner.withdraw(j, func(status string) {
+		if status == "" {
+			reply(u.c.refusal(503, "the job's owner changes", 1))
+			return
+		}
+		reply(u.c.finalStatus(200, j.id, ending{status, j.spec.Tasks}))
+	})
+}
+
+// askOwner asks the member that holds a ledger; done gets nil if it does not
+// answer.
+func (u *users) askOwner(id, ledger string, abort bool, done func(*meshpb.Answer)) {
+	k := u.c.session.ledgers[ledger]
+	var p *peer
+	if k != nil && k.present {
+		p = u.c.peers[k.holder.Member]
+	}
+	if p == nil || p.link == nil || len(u.asks) >= maxAsks {
+		done(nil)
+		return
+	}
+	u.askSeq++
+	u.asks[u.askSeq] = &ask{to: p, at: u.c.now(), done: done}
+	p.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Ask{Ask: &meshpb.Ask{Id: u.askSeq, Job: id, Abort: abort}}})
+}
+
+// onAsk answers another member from what this one owns.
+func (u *users) onAsk(p *peer, f *meshpb.Ask) {
+	link := p.link
+	answer := func(a *meshpb.Answer) {
+		a.Id = f.Id
+		link.Send(&meshpb.Frame{Body: &meshpb.Frame_Answer{Answer: a}})
+	}
+	if e, ok := u.finals[f.Job]; ok {
+		done := 0
+		if e.status == protocol.StatusDone {
+			done = e.tasks
+		}
+		answer(&meshpb.Answer{Status: 200, State: e.status, Done: uint32(done)})
+		return
+	}
+	j := u.c.owner.jobs[f.Job]
+	if j == nil || !u.c.session.mayAct(u.c.now()) {
+		answer(&meshpb.Answer{Status: 503})
+		return
+	}
+	if !f.Abort && j.ending != "" {
+		answer(&meshpb.Answer{Status: 503})
+		return
+	}
+	if !f.Abort {
+		answer(&meshpb.Answer{Status: 200, State: j.wireStatus(), Done: uint32(j.nDone), Running: uint32(j.nRun)})
+		return
+	}
+	u.c.owner.withdraw(j, func(status string) {
+		if status == "" {
+			answer(&meshpb.Answer{Status: 503})
+			return
+		}
+		answer(&meshpb.Answer{Status: 200, State: status, Done: uint32(j.nDone)})
+	})
+}
+
+func (u *users) onAnswer(p *peer, f *meshpb.Answer) {
+	if a := u.asks[f.Id]; a != nil && a.to == p {
+		delete(u.asks, f.Id)
+		a.done(f)
+	}
+}
+
+func (u *users) peerDown(p *peer) {
+	for id, a := range u.asks {
+		if a.to == p {
+			delete(u.asks, id)
+			a.done(nil)
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,280 @@
+// Package settings reads the file that the platform hands over and the
+// operators' own properties, and says in one line what is wrong with them.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/magiconair/properties"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Peer is another controller.
+type Peer struct {
+	Member  string `toml:"member"`
+	Site    string `toml:"site"`
+	Address string `toml:"address"`
+}
+
+// Team has a guarantee and a limit. A limit of 0 is read as none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective repeats an aim of the users.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"`
+	WithinS float64 `toml:"within_s"`
+}
+
+// Workers holds the workers' constants.
+type Workers struct {
+	ReportS float64 `toml:"report_s"`
+	LeaseS  float64 `toml:"lease_s"`
+	CancelS float64 `toml:"cancel_s"`
+}
+
+// State holds the state service's limits.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud holds the cloud's limits.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// Limits bounds this process.
+type Limits struct {
+	Cores   float64 `toml:"cores"`
+	MemMB   float64 `toml:"mem_mb"`
+	Sockets int     `toml:"sockets"`
+}
+
+// File is the platform's file. Fields that it does not know are ignored.
+type File struct {
+	Member   string `toml:"member"`
+	Site     string `toml:"site"`
+	APIAddr  string `toml:"api_addr"`
+	MeshAddr string `toml:"mesh_addr"`
+	Known    []Peer `toml:"known"`
+	External struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"external"`
+	Settings struct {
+		Zones      []string    `toml:"zones"`
+		ClockOffMs float64     `toml:"clock_off_ms"`
+		Teams      []Team      `toml:"teams"`
+		Objectives []Objective `toml:"objectives"`
+		Workers    Workers     `toml:"workers"`
+		State      State       `toml:"state"`
+		Cloud      Cloud       `toml:"cloud"`
+		Limits     Limits      `toml:"limits"`
+	} `toml:"settings"`
+}
+
+// Load reads and checks the platform's file.
+func Load(path string) (*File, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading settings: %w", err)
+	}
+	return Parse(b)
+}
+
+// Parse reads and checks the platform's file from memory.
+func Parse(b []byte) (*File, error) {
+	var f File
+	if err := toml.Unmarshal(b, &f); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := f.check(); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return &f, nil
+}
+
+func (f *File) check() error {
+	s := &f.Settings
+	for _, n := range []struct{ name, value string }{
+		{"member", f.Member}, {"site", f.Site},
+	} {
+		if n.value == "" {
+			return fmt.Errorf("%s is missing", n.name)
+		}
+	}
+	for _, a := range []struct{ name, value string }{
+		{"api_addr", f.APIAddr}, {"mesh_addr", f.MeshAddr},
+		{"external.cloud", f.External.Cloud}, {"external.state", f.External.State},
+	} {
+		if err := checkAddr(a.name, a.value); err != nil {
+			return err
+		}
+	}
+	seen := map[string]bool{f.Member: true}
+	for i, p := range f.Known {
+		if p.Member == "" || seen[p.Member] {
+			return fmt.Errorf("known[%d].member is missing or repeated", i)
+		}
+		seen[p.Member] = true
+		if err := checkAddr(fmt.Sprintf("known[%d].address", i), p.Address); err != nil {
+			return err
+		}
+	}
+	for _, n := range []struct {
+		name     string
+		value    float64
+		min, max float64
+	}{
+		{"settings.workers.report_s", s.Workers.ReportS, 0.01, 3600},
+		{"settings.workers.lease_s", s.Workers.LeaseS, 0.01, 86400},
+		{"settings.workers.cancel_s", s.Workers.CancelS, 0.01, 86400},
+		{"settings.state.rps", s.State.RPS, 1, 1e9},
+		{"settings.state.write_rps", s.State.WriteRPS, 1, 1e9},
+		{"settings.state.value_kb", s.State.ValueKB, 1, 1e6},
+		{"settings.state.txn_ops", float64(s.State.TxnOps), 2, 1e6},
+		{"settings.cloud.rps", s.Cloud.RPS, 0.1, 1e9},
+		{"settings.cloud.list_lag_s", s.Cloud.ListLagS, 0, 3600},
+		{"settings.clock_off_ms", s.ClockOffMs, 0, 1e7},
+		{"settings.limits.mem_mb", s.Limits.MemMB, 16, 1e9},
+		{"settings.limits.sockets", float64(s.Limits.Sockets), 32, 1e9},
+		{"settings.limits.cores", s.Limits.Cores, 0.001, 1e5},
+	} {
+		if math.IsNaN(n.value) || n.value < n.min || n.value > n.max {
+			return fmt.Errorf("%s is missing or out of range", n.name)
+		}
+	}
+	if len(s.Teams) == 0 {
+		return errors.New("settings.teams is missing")
+	}
+	teams := map[string]bool{}
+	for i, t := range s.Teams {
+		if t.Name == "" || teams[t.Name] {
+			return fmt.Errorf("settings.teams[%d].name is missing or repeated", i)
+		}
+		teams[t.Name] = true
+		for _, v := range []float64{t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax} {
+			if math.IsNaN(v) || v < 0 {
+				return fmt.Errorf("settings.teams[%d] has a negative amount", i)
+			}
+		}
+	}
+	return nil
+}
+
+func checkAddr(name, v string) error {
+	host, port, err := net.SplitHostPort(v)
+	if err != nil {
+		return fmt.Errorf("%s is missing or not host:port", name)
+	}
+	if n, err := strconv.Atoi(port); net.ParseIP(host) == nil || err != nil || n < 1 || n > 65535 {
+		return fmt.Errorf("%s is not an IP address with a port", name)
+	}
+	return nil
+}
+
+// Tuning is the operators' own settings.
+type Tuning struct {
+	StateLease     time.Duration // state.lease
+	SilenceReports float64       // loss.silence_reports
+	OfferWait      time.Duration // placement.offer_wait
+	StartsPerReply int           // placement.starts_per_reply
+	WriteShare     float64       // bookkeeping.write_share
+	IdleReturn     time.Duration // renting.idle_return
+	RequestTimeout time.Duration // state.request_timeout
+}
+
+// DefaultTuning is what holds without a properties file.
+func DefaultTuning() Tuning {
+	return Tuning{
+		StateLease:     5 * time.Second,
+		SilenceReports: 3,
+		OfferWait:      300 * time.Millisecond,
+		StartsPerReply: 64,
+		WriteShare:     0.8,
+		IdleReturn:     20 * time.Second,
+		RequestTimeout: 1500 * time.Millisecond,
+	}
+}
+
+// LoadTuning reads a properties file over the defaults. A key that is not
+// known is an error, since it is most likely a slip of the pen.
+func LoadTuning(path string) (Tuning, error) {
+	p, err := properties.LoadFile(path, properties.UTF8)
+	if err != nil {
+		return Tuning{}, fmt.Errorf("reading properties: %w", err)
+	}
+	return tuningFrom(p)
+}
+
+// ParseTuning is LoadTuning on text.
+func ParseTuning(text string) (Tuning, error) {
+	p, err := properties.LoadString(text)
+	if err != nil {
+		return Tuning{}, fmt.Errorf("reading properties: %w", err)
+	}
+	return tuningFrom(p)
+}
+
+func tuningFrom(p *properties.Properties) (Tuning, error) {
+	t := DefaultTuning()
+	durations := map[string]struct {
+		to       *time.Duration
+		min, max time.Duration
+	}{
+		"state.lease":           {&t.StateLease, time.Second, 10 * time.Minute},
+		"state.request_timeout": {&t.RequestTimeout, 100 * time.Millisecond, time.Minute},
+		"placement.offer_wait":  {&t.OfferWait, 10 * time.Millisecond, 2 * time.Second},
+		"renting.idle_return":   {&t.IdleReturn, 0, 24 * time.Hour},
+	}
+	numbers := map[string]struct {
+		to       *float64
+		min, max float64
+	}{
+		"loss.silence_reports":    {&t.SilenceReports, 1, 100},
+		"bookkeeping.write_share": {&t.WriteShare, 0.05, 1},
+	}
+	for _, key := range p.Keys() {
+		value, _ := p.Get(key)
+		if d, ok := durations[key]; ok {
+			v, err := time.ParseDuration(value)
+			if err != nil || v < d.min || v > d.max {
+				return Tuning{}, fmt.Errorf("properties: %s must be a duration from %v to %v", key, d.min, d.max)
+			}
+			*d.to = v
+		} else if n, ok := numbers[key]; ok {
+			v, err := strconv.ParseFloat(value, 64)
+			if err != nil || math.IsNaN(v) || v < n.min || v > n.max {
+				return Tuning{}, fmt.Errorf("properties: %s must be a number from %v to %v", key, n.min, n.max)
+			}
+			*n.to = v
+		} else if key == "placement.starts_per_reply" {
+			v, err := strconv.Atoi(value)
+			if err != nil || v < 1 || v > 500 {
+				return Tuning{}, fmt.Errorf("properties: %s must be a count from 1 to 500", key)
+			}
+			t.StartsPerReply = v
+		} else {
+			return Tuning{}, fmt.Errorf("properties: unknown key %s", key)
+		}
+	}
+	return t, nil
+}
--- /dev/null
+++ b/internal/transport/http.go
@@ -0,0 +1,274 @@
+// Package transport moves bytes: gnet servers and client connections, an
+// HTTP/1.1 parser of the project's own, and the framing of the mesh.
+package transport
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Limits of one HTTP message.
+const (
+	maxHead     = 8 << 10
+	maxBody     = 64 << 10
+	maxResponse = 4 << 20
+)
+
+var (
+	errIncomplete = errors.New("message is incomplete")
+	errMalformed  = errors.New("malformed HTTP")
+	errTooLarge   = errors.New("HTTP message is too large")
+)
+
+// message is a parsed request or response.
+type message struct {
+	first    [3]string // the words of the start line
+	body     []byte
+	close    bool
+	retry    string
+	size     int // bytes taken from the buffer
+	expect   bool
+	tooLarge bool
+}
+
+// parseMessage reads one HTTP/1.1 message from the start of buf. Bodies are
+// framed by Content-Length or in chunks. It returns errIncomplete until the
+// whole message has arrived; the message then still tells whether the peer
+// waits for a "100 Continue".
+func parseMessage(buf []byte, response bool, bodyLimit int) (message, error) {
+	var m message
+	skip := 0
+	for skip < len(buf) && skip < 4 && (buf[skip] == '\r' || buf[skip] == '\n') {
+		skip++
+	}
+	head := buf[skip:]
+	end := bytes.Index(head, []byte("\r\n\r\n"))
+	if end < 0 {
+		if len(head) > maxHead {
+			return m, errTooLarge
+		}
+		return m, errIncomplete
+	}
+	if end > maxHead {
+		return m, errTooLarge
+	}
+	length, chunked, err := m.readHead(string(head[:end]), response)
+	if err != nil {
+		return m, err
+	}
+	rest := head[end+4:]
+	used := skip + end + 4
+	if chunked {
+		body, n, err := readChunks(rest, bodyLimit)
+		if err != nil {
+			return m, err
+		}
+		m.body, m.size = body, used+n
+		return m, nil
+	}
+	if length > bodyLimit {
+		m.tooLarge = true
+		return m, errTooLarge
+	}
+	if len(rest) < length {
+		return m, errIncomplete
+	}
+	m.body = append([]byte(nil), rest[:length]...)
+	m.size = used + length
+	return m, nil
+}
+
+func (m *message) readHead(head string, response bool) (length int, chunked bool, err error) {
+	lines := strings.Split(head, "\r\n")
+	words := strings.SplitN(lines[0], " ", 3)
+	if len(words) < 3 && !(response && len(words) == 2) {
+		return 0, false, errMalformed
+	}
+	copy(m.first[:], words)
+	version := m.first[2]
+	if response {
+		version = m.first[0]
+	}
+	switch version {
+	case "HTTP/1.1":
+	case "HTTP/1.0":
+		m.close = true
+	default:
+		return 0, false, errMalformed
+	}
+	if !response && (!isToken(m.first[0]) || !strings.HasPrefix(m.first[1], "/")) {
+		return 0, false, errMalformed
+	}
+	seenLength := false
+	for _, line := range lines[1:] {
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || !isToken(name) {
+			return 0, false, errMalformed
+		}
+		value = strings.Trim(value, " \t")
+		if strings.ContainsAny(value, "\r\n\x00") {
+			return 0, false, errMalformed
+		}
+		switch strings.ToLower(name) {
+		case "content-length":
+			n, err := strconv.ParseUint(value, 10, 31)
+			if err != nil || (seenLength && int(n) != length) {
+				return 0, false, errMalformed
+			}
+			length, seenLength = int(n), true
+		case "transfer-encoding":
+			if !strings.EqualFold(value, "chunked") {
+				return 0, false, errMalformed
+			}
+			chunked = true
+		case "connection":
+			for _, v := range strings.Split(value, ",") {
+				switch strings.ToLower(strings.TrimSpace(v)) {
+				case "close":
+					m.close = true
+				case "keep-alive":
+					m.close = false
+				}
+			}
+		case "retry-after":
+			m.retry = value
+		case "expect":
+			m.expect = strings.EqualFold(value, "100-continue")
+		}
+	}
+	if chunked && seenLength {
+		return 0, false, errMalformed
+	}
+	return length, chunked, nil
+}
+
+// readChunks decodes a chunked body and returns it with the bytes it took.
+func readChunks(b []byte, limit int) ([]byte, int, error) {
+	var body []byte
+	pos := 0
+	for {
+		nl := bytes.Index(b[pos:], []byte("\r\n"))
+		if nl < 0 {
+			if len(b)-pos > 1024 {
+				return nil, 0, errMalformed
+			}
+			return nil, 0, errIncomplete
+		}
+		digits, _, _ := strings.Cut(string(b[pos:pos+nl]), ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 31)
+		if err != nil {
+			return nil, 0, errMalformed
+		}
+		pos += nl + 2
+		if n == 0 {
+			break
+		}
+		if len(body)+int(n) > limit {
+			return nil, 0, errTooLarge
+		}
+		if len(b)-pos < int(n)+2 {
+			return nil, 0, errIncomplete
+		}
+		body = append(body, b[pos:pos+int(n)]...)
+		pos += int(n)
+		if b[pos] != '\r' || b[pos+1] != '\n' {
+			return nil, 0, errMalformed
+		}
+		pos += 2
+	}
+	for { // trailers, up to the empty line
+		nl := bytes.Index(b[pos:], []byte("\r\n"))
+		if nl < 0 {
+			if len(b)-pos > maxHead {
+				return nil, 0, errTooLarge
+			}
+			return nil, 0, errIncomplete
+		}
+		pos += nl + 2
+		if nl == 0 {
+			return body, pos, nil
+		}
+	}
+}
+
+func isToken(s string) bool {
+	if s == "" {
+		return false
+	}
+	for i := 0; i < len(s); i++ {
+		c := s[i]
+		switch {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		case strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0:
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// Request is what a handler gets.
+type Request struct {
+	Method string
+	Path   string
+	Body   []byte
+}
+
+// Response is what it answers with. RetryAfterS is sent when it is above 0.
+type Response struct {
+	Status      int
+	Body        []byte
+	RetryAfterS int
+	Close       bool
+}
+
+func statusText(code int) string {
+	switch code {
+	case 200:
+		return "OK"
+	case 201:
+		return "Created"
+	case 400:
+		return "Bad Request"
+	case 404:
+		return "Not Found"
+	case 405:
+		return "Method Not Allowed"
+	case 421:
+		return "Misdirected Request"
+	case 422:
+		return "Unprocessable Entity"
+	case 429:
+		return "Too Many Requests"
+	case 503:
+		return "Service Unavailable"
+	}
+	return "Status"
+}
+
+func appendResponse(b []byte, r *Response) []byte {
+	b = fmt.Appendf(b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", r.Status, statusText(r.Status), len(r.Body))
+	if len(r.Body) > 0 {
+		b = append(b, "Content-Type: application/cbor\r\n"...)
+	}
+	if r.RetryAfterS > 0 {
+		b = fmt.Appendf(b, "Retry-After: %d\r\n", r.RetryAfterS)
+	}
+	if r.Close {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	return append(b, r.Body...)
+}
+
+func appendRequest(b []byte, method, path, host string, body []byte) []byte {
+	b = fmt.Appendf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, path, host)
+	if len(body) > 0 || method == "POST" {
+		b = fmt.Appendf(b, "Content-Type: application/cbor\r\nContent-Length: %d\r\n", len(body))
+	}
+	b = append(b, "\r\n"...)
+	return append(b, body...)
+}
