--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -49,7 +49,7 @@
 	orders       map[taskKey]*meshpb.Order
 	idleSince    time.Duration
 	rentedAt     time.Duration // 0: not known
-	leaving      bool // being returned: no offers any more
+	leaving      bool          // being returned: no offers any more
 	releasing    bool
 	pending      *answer
 	images       map[string]bool
