--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -553,6 +553,12 @@
 		}
 		return
 	case unplaced:
+		if exited && protocol.Why(s.Why) != protocol.WhyDone {
+			// An older copy that ended says nothing of a newer one, which
+			// may run on a machine that has not been heard of yet.
+			clear()
+			return
+		}
 		t.attempt = s.Attempt
 		j.ledger.tries = max(j.ledger.tries, s.Attempt)
 		o.locate(j, i, m, onMachine)
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 )
 
 // ErrNotSent says that a request surely never left this process; ErrNoAnswer
@@ -48,7 +47,7 @@
 func NewDialer() (*Dialer, error) {
 	d := &Dialer{}
 	client, err := gnet.NewClient(d, gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithReadBufferCap(32<<10), gnet.WithLogLevel(logging.FatalLevel))
+		gnet.WithReadBufferCap(32<<10), gnet.WithLogger(quiet{}))
 	if err != nil {
 		return nil, fmt.Errorf("outgoing event loop: %w", err)
 	}
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
@@ -81,7 +80,7 @@
 	}
 	err := gnet.Run(m, "tcp://"+m.cfg.Addr, gnet.WithNumEventLoop(1), gnet.WithTicker(true),
 		gnet.WithReuseAddr(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithReadBufferCap(32<<10),
-		gnet.WithLogLevel(logging.FatalLevel))
+		gnet.WithLogger(quiet{}))
 	if err != nil {
 		return fmt.Errorf("serving the mesh on %s: %w", m.cfg.Addr, err)
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 )
 
 // Handler takes one request and calls reply exactly once, from any goroutine.
@@ -52,7 +51,7 @@
 	err := gnet.Run(s, "tcp://"+s.cfg.Addr,
 		gnet.WithNumEventLoop(1), gnet.WithTicker(true), gnet.WithReuseAddr(true),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithReadBufferCap(16<<10),
-		gnet.WithLogLevel(logging.FatalLevel))
+		gnet.WithLogger(quiet{}))
 	if err != nil {
 		return fmt.Errorf("serving %s: %w", s.cfg.Addr, err)
 	}
