--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -49,6 +49,7 @@
 	orders       map[taskKey]*meshpb.Order
 	idleSince    time.Duration
 	rentedAt     time.Duration // 0: not known
+	ours         bool          // rented under this leader
 	leaving      bool          // being returned: no offers any more
 	releasing    bool
 	pending      *answer
@@ -106,6 +107,7 @@
 	offers   map[uint64]*offer
 	offerSeq uint64
 	reportAt time.Duration // last report that was answered 200
+	actingAt time.Duration // since when this member may act without a break
 	nextSlow time.Duration
 	roster   bool // every machine that may hold a task is known
 	rent     renting
@@ -139,7 +141,7 @@
 func (c *Core) becomeLeader(token uint64) {
 	now := c.now()
 	l := &leader{
-		c: c, token: token, since: now, reportAt: now, machines: make(map[string]*machine),
+		c: c, token: token, since: now, reportAt: now, actingAt: now, machines: make(map[string]*machine),
 		jobs: make(map[string]*leaderJob), ledgers: make(map[string]*leaderLedger),
 		teams: make(map[string]*teamState), offers: make(map[uint64]*offer), est: make(map[string]*estimate),
 	}
@@ -157,6 +159,7 @@
 	for _, g := range l.ledgers {
 		l.countLedger(g)
 	}
+	c.beat(now)
 }
 
 func (c *Core) dropLeadership() {
@@ -415,6 +418,9 @@
 	for i := range m.tasks {
 		before[m.tasks[i].key] = &m.tasks[i]
 	}
+	for i := range m.sent { // a task may have ended before it was ever listed
+		before[m.sent[i].key] = &m.sent[i]
+	}
 	tasks := make([]placed, 0, len(r.Tasks))
 	busy := false
 	for _, t := range r.Tasks {
@@ -661,6 +667,10 @@
 			l.finish(m.pending)
 		}
 	}
+	if !l.c.session.mayAct(now) {
+		// Reports are refused meanwhile, so silence means nothing.
+		l.actingAt, l.reportAt = now, now
+	}
 	if now < l.nextSlow {
 		return
 	}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -110,7 +110,7 @@
 		if t == nil {
 			continue
 		}
-		dark := m.currentAt == 0
+		dark := m.currentAt == 0 && !m.ours
 		for i := range m.tasks {
 			dark = dark || (m.tasks[i].job == nil && m.tasks[i].state != protocol.TaskExited)
 		}
@@ -260,7 +260,9 @@
 			continue
 		}
 		jobs++
-		errs += n
+		if j := l.jobs[id]; j != nil && j.succeeded {
+			errs += n
+		}
 	}
 	if !m.sick && (jobs >= 2 || errs >= sickErrors) {
 		m.sick = true
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -315,6 +315,7 @@
 				m = &machine{name: n, typ: q.v.typ, zone: q.v.zone, spot: q.v.spot}
 				r.l.machines[n] = m
 			}
+			m.ours = true
 			if m.rentedAt == 0 {
 				m.rentedAt = now
 			}
@@ -419,7 +420,7 @@
 
 // silence is how long a machine has been silent beyond the limit.
 func (r *renting) silence(m *machine, now time.Duration) time.Duration {
-	return now - max(m.heard, r.l.since) - r.l.c.silenceAfter()
+	return now - max(m.heard, r.l.actingAt) - r.l.c.silenceAfter()
 }
 
 // spare counts, by variant, the machines that the waiting tasks can use.
--- a/internal/coordination/stream.go
+++ b/internal/coordination/stream.go
@@ -131,6 +131,14 @@
 	if p != s.from || b.Token != s.token {
 		return
 	}
+	for _, l := range s.c.owner.ledgers {
+		if l.ready && s.start[l.name] <= 0 {
+			// The leader had not yet heard of its own election when the
+			// first Join came, or this one crosses its answer: joining
+			// twice only starts the clock later.
+			s.joinLedger(l)
+		}
+	}
 	span := s.c.leaseSpan().Microseconds()
 	for m, refs := range s.c.owner.held {
 		last := int64(0)
