--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -121,7 +121,6 @@
 	m    *machine
 	v    variant
 	room room
-	used bool
 }
 
 func (r *renting) supplies(now time.Duration) []*supply {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/magiconair/properties"
@@ -104,6 +105,9 @@
 func Parse(b []byte) (*File, error) {
 	var f File
 	if err := toml.Unmarshal(b, &f); err != nil {
+		if d := (*toml.DecodeError)(nil); errors.As(err, &d) && len(d.Key()) > 0 {
+			return nil, fmt.Errorf("settings: %s: %w", strings.Join(d.Key(), "."), err)
+		}
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if err := f.check(); err != nil {
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,95 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `
+member = "n-0"
+site = "z"
+api_addr = "10.0.0.1:80"
+mesh_addr = "10.0.0.1:81"
+new_field = "from a later platform"
+[[known]]
+member = "n-1"
+site = "z"
+address = "10.0.0.2:81"
+[external]
+cloud = "10.0.0.3:1"
+state = "10.0.0.3:2"
+[settings]
+initial_size = 2
+zones = ["z"]
+clock_off_ms = 100.0
+[[settings.teams]]
+name = "t"
+cpus = 0.0
+cpus_max = 0.0
+colour = "blue"
+[settings.workers]
+report_s = 2.5
+lease_s = 16.0
+cancel_s = 46.0
+[settings.state]
+rps = 200.0
+write_rps = 40.0
+value_kb = 8.0
+txn_ops = 32
+[settings.cloud]
+rps = 3.0
+list_lag_s = 6.0
+[settings.limits]
+cores = 0.1
+mem_mb = 179.0
+sockets = 1800
+`
+
+func TestParse(t *testing.T) {
+	f, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.Settings.Workers.LeaseS != 16 || f.Known[0].Member != "n-1" || f.Settings.State.TxnOps != 32 {
+		t.Fatalf("misread: %+v", f)
+	}
+	for _, c := range []struct{ old, new, field string }{
+		{`member = "n-0"`, ``, "member"},
+		{`"10.0.0.1:80"`, `"10.0.0.1"`, "api_addr"},
+		{`"10.0.0.1:81"`, `"nowhere:81"`, "mesh_addr"},
+		{`cloud = "10.0.0.3:1"`, ``, "external.cloud"},
+		{`member = "n-1"`, `member = "n-0"`, "known[0].member"},
+		{`lease_s = 16.0`, `lease_s = -1.0`, "settings.workers.lease_s"},
+		{`report_s = 2.5`, `report_s = nan`, "settings.workers.report_s"},
+		{`write_rps = 40.0`, ``, "settings.state.write_rps"},
+		{`txn_ops = 32`, `txn_ops = 0`, "settings.state.txn_ops"},
+		{`sockets = 1800`, `sockets = 1`, "settings.limits.sockets"},
+		{`name = "t"`, ``, "settings.teams[0].name"},
+		{`cpus = 0.0`, `cpus = -2.0`, "settings.teams[0]"},
+		{`report_s = 2.5`, `report_s = "soon"`, "report_s"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.field) {
+			t.Errorf("%s -> %s: error %v does not name %s", c.old, c.new, err, c.field)
+		}
+	}
+}
+
+func TestTuning(t *testing.T) {
+	got, err := ParseTuning("# ours\nstate.lease = 8s\nplacement.starts_per_reply=5\nloss.silence_reports: 2.5\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := DefaultTuning()
+	want.StateLease, want.StartsPerReply, want.SilenceReports = 8*time.Second, 5, 2.5
+	if got != want {
+		t.Fatalf("got %+v, want %+v", got, want)
+	}
+	for _, bad := range []string{"state.leese = 8s", "state.lease = 8", "state.lease = 1ms", "loss.silence_reports = many", "placement.starts_per_reply = 0"} {
+		key, _, _ := strings.Cut(bad, " ")
+		if _, err := ParseTuning(bad); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: error %v does not name the key", bad, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/loopback_test.go
@@ -0,0 +1,175 @@
+package transport
+
+import (
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+)
+
+const patience = 20 * time.Second // for what takes milliseconds, on a busy machine
+
+// freeAddr finds an address on the loopback that nothing listens on.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func startServer(t *testing.T, h Handler, maxInFlight int) string {
+	t.Helper()
+	addr := freeAddr(t)
+	s := NewServer(ServerConfig{Addr: addr, MaxConns: 10, MaxInFlight: maxInFlight, IdleTimeout: time.Minute, ReadTimeout: time.Minute}, h)
+	done := make(chan error, 1)
+	go func() { done <- s.Run() }()
+	t.Cleanup(func() {
+		if err := errors.Join(s.Stop(patience), <-done); err != nil {
+			t.Error(err)
+		}
+	})
+	<-s.ready
+	return addr
+}
+
+func newDialer(t *testing.T) *Dialer {
+	t.Helper()
+	d, err := NewDialer()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := d.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	return d
+}
+
+func TestServerAndClient(t *testing.T) {
+	addr := startServer(t, func(req *Request, reply func(Response)) {
+		go reply(Response{Status: 200, Body: append([]byte(req.Method+" "+req.Path+" "), req.Body...)})
+	}, 10)
+	c := NewHTTPClient(newDialer(t), addr, 2, 100)
+	results := make(chan HTTPResult, 20)
+	for range 20 {
+		c.Do("POST", "/x?y=1", []byte(strings.Repeat("b", 50_000)), patience, func(r HTTPResult) { results <- r })
+	}
+	for range 20 {
+		r := <-results
+		if r.Err != nil || r.Status != 200 || !strings.HasPrefix(string(r.Body), "POST /x?y=1 bbb") || len(r.Body) != 50_012 {
+			t.Fatalf("got %d, %d bytes, %v", r.Status, len(r.Body), r.Err)
+		}
+	}
+}
+
+func TestClientTellsNotSentFromNoAnswer(t *testing.T) {
+	d := newDialer(t)
+	got := make(chan HTTPResult, 1)
+	NewHTTPClient(d, freeAddr(t), 2, 10).Do("GET", "/", nil, patience, func(r HTTPResult) { got <- r })
+	if r := <-got; !errors.Is(r.Err, ErrNotSent) {
+		t.Fatalf("nothing listens: got %v", r.Err)
+	}
+	addr := startServer(t, func(*Request, func(Response)) {}, 10)
+	NewHTTPClient(d, addr, 2, 10).Do("GET", "/", nil, 50*time.Millisecond, func(r HTTPResult) { got <- r })
+	if r := <-got; !errors.Is(r.Err, ErrNoAnswer) {
+		t.Fatalf("no answer: got %v", r.Err)
+	}
+}
+
+func TestServerRefusesWhatItCannotTake(t *testing.T) {
+	hold := make(chan func(Response), 1)
+	addr := startServer(t, func(_ *Request, reply func(Response)) { hold <- reply }, 1)
+	talk := func(text string) string {
+		c, err := net.Dial("tcp4", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+		buf := make([]byte, 200)
+		n, err := c.Read(buf)
+		if err != nil {
+			t.Fatalf("%.20q: %v", text, err)
+		}
+		line, _, _ := strings.Cut(string(buf[:n]), "\r\n")
+		return line
+	}
+	if got := talk("nonsense\r\n\r\n"); got != "HTTP/1.1 400 Bad Request" {
+		t.Fatal(got)
+	}
+	if got := talk("POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n"); got != "HTTP/1.1 400 Bad Request" {
+		t.Fatal(got)
+	}
+	first := make(chan string, 1)
+	go func() { first <- talk("GET / HTTP/1.1\r\nConnection: close\r\n\r\n") }()
+	reply := <-hold
+	if got := talk("GET / HTTP/1.1\r\n\r\n"); got != "HTTP/1.1 503 Service Unavailable" {
+		t.Fatal(got)
+	}
+	reply(Response{Status: 200})
+	if got := <-first; got != "HTTP/1.1 200 OK" {
+		t.Fatal(got)
+	}
+}
+
+type meshLog struct {
+	up     chan *MeshLink
+	frames chan *meshpb.Frame
+	down   chan *MeshLink
+}
+
+func newMeshLog() *meshLog {
+	return &meshLog{up: make(chan *MeshLink, 8), frames: make(chan *meshpb.Frame, 1000), down: make(chan *MeshLink, 8)}
+}
+
+func (m *meshLog) MeshUp(l *MeshLink, _ string, _ uint64) { m.up <- l }
+func (m *meshLog) MeshFrame(_ *MeshLink, f *meshpb.Frame) { m.frames <- f }
+func (m *meshLog) MeshDown(l *MeshLink)                   { m.down <- l }
+
+func TestMeshKeepsOrderAndReconnects(t *testing.T) {
+	addrA, addrB := freeAddr(t), freeAddr(t)
+	start := func(self, addr, other, otherAddr string) *meshLog {
+		log := newMeshLog()
+		m := NewMesh(MeshConfig{Self: self, Incarnation: 7, Addr: addr, Silence: time.Minute,
+			Peers: []MeshPeer{{Member: other, Addr: otherAddr}}}, newDialer(t), log)
+		done := make(chan error, 1)
+		go func() { done <- m.Run() }()
+		t.Cleanup(func() {
+			if err := errors.Join(m.Stop(patience), <-done); err != nil {
+				t.Error(err)
+			}
+		})
+		return log
+	}
+	a, b := start("a", addrA, "b", addrB), start("b", addrB, "a", addrA)
+	la, lb := <-a.up, <-b.up
+	for i := range 500 {
+		la.Send(&meshpb.Frame{Body: &meshpb.Frame_Ask{Ask: &meshpb.Ask{Id: uint64(i), Job: strings.Repeat("j", i)}}})
+	}
+	for i := range 500 {
+		if f := <-b.frames; f.GetAsk().GetId() != uint64(i) {
+			t.Fatalf("frame %d came as number %d", f.GetAsk().GetId(), i)
+		}
+	}
+	lb.Close()
+	if <-a.down != la || <-b.down != lb {
+		t.Fatal("another link went down")
+	}
+	la2, lb2 := <-a.up, <-b.up
+	lb2.Send(&meshpb.Frame{Body: &meshpb.Frame_Gone{Gone: &meshpb.Gone{Machine: "m"}}})
+	if f := <-a.frames; f.GetGone().GetMachine() != "m" || la2 == la {
+		t.Fatal("the new link does not carry frames")
+	}
+}
