--- /dev/null
+++ b/internal/coordination/images.go
@@ -0,0 +1,122 @@
+package coordination
+
+import (
+	"math"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+)
+
+const imagesEvery = 300 * time.Millisecond
+
+// cachedImage is an image that a machine has, or is fetching.
+type cachedImage struct {
+	gb   float64
+	used time.Duration
+}
+
+// imageLoad sets the work that waits for an image against the machines that
+// have it.
+type imageLoad struct {
+	cpus, memory         float64 // of the machines that have the image
+	needCPUs, needMemory float64 // CPU and memory seconds that wait for it
+}
+
+// imageTable is worked out a few times a second.
+type imageTable struct {
+	at   time.Duration
+	load map[string]*imageLoad
+}
+
+// useImage notes that a machine has an image, and which it will have dropped
+// for it: the least recently used go first.
+func (m *machine) useImage(name string, gb, cacheGB float64, now time.Duration) {
+	if m.images == nil {
+		m.images = make(map[string]*cachedImage)
+	}
+	im := m.images[name]
+	if im == nil {
+		im = &cachedImage{gb: gb}
+		m.images[name] = im
+	}
+	im.used = now
+	for len(m.images) > 1 {
+		sum, oldest := 0.0, ""
+		for n, c := range m.images {
+			sum += c.gb
+			if n != name && (oldest == "" || c.used < m.images[oldest].used) {
+				oldest = n
+			}
+		}
+		if sum <= cacheGB || cacheGB <= 0 {
+			return
+		}
+		delete(m.images, oldest)
+	}
+}
+
+// refreshImages works the table out anew if it is old.
+func (l *leader) refreshImages(now time.Duration) {
+	t := &l.images
+	if t.load != nil && now-t.at < imagesEvery {
+		return
+	}
+	t.at, t.load = now, make(map[string]*imageLoad)
+	for _, j := range l.jobs {
+		n := float64(j.waiting - j.offered)
+		if j.closed || n <= 0 || j.spec.Image == "" {
+			continue
+		}
+		e := t.load[j.spec.Image]
+		if e == nil {
+			e = &imageLoad{}
+			t.load[j.spec.Image] = e
+		}
+		run := l.runTime(j.spec).Seconds()
+		e.needCPUs += n * run * j.spec.Cpus
+		e.needMemory += n * run * j.spec.MemoryGb
+	}
+	for _, m := range l.machines {
+		typ := l.c.fleet.types[m.typ]
+		if typ == nil || !l.usable(m, now) {
+			continue
+		}
+		wanted := 0.0
+		for name := range m.images {
+			if t.load[name] != nil {
+				wanted++
+			}
+		}
+		for name := range m.images {
+			if e := t.load[name]; e != nil {
+				e.cpus += typ.CPUs / wanted
+				e.memory += typ.MemoryGB / wanted
+			}
+		}
+	}
+}
+
+// fetchTime is how long a machine takes to fetch a job's image.
+func fetchTime(s *meshpb.JobDemand, typ *protocol.MachineType) time.Duration {
+	if typ == nil || typ.FetchRate <= 0 {
+		return 0
+	}
+	return seconds(s.ImageGb / typ.FetchRate)
+}
+
+// worthFetching tells whether a machine without a job's image should fetch
+// it: only if the tasks that wait would wait longer for the machines that
+// have it.
+func (l *leader) worthFetching(j *leaderJob, m *machine) bool {
+	fetch := fetchTime(j.spec, l.c.fleet.types[m.typ])
+	if fetch < time.Second {
+		return true
+	}
+	e := l.images.load[j.spec.Image]
+	if e == nil || e.cpus == 0 {
+		return true
+	}
+	wait := math.Max(e.needCPUs/e.cpus, e.needMemory/math.Max(e.memory, 1e-9))
+	return seconds(wait) > fetch
+}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -53,7 +53,7 @@
 	leaving      bool          // being returned: no offers any more
 	releasing    bool
 	pending      *answer
-	images       map[string]bool
+	images       map[string]*cachedImage
 	errors       map[string]int // failures since the last success, by job
 	sick         bool
 	gone         bool
@@ -112,6 +112,7 @@
 	roster   bool // every machine that may hold a task is known
 	rent     renting
 	est      map[string]*estimate
+	images   imageTable
 }
 
 // answer is a report's answer that waits for its owners' picks.
@@ -154,6 +155,7 @@
 	}
 	l.rent.init(l)
 	c.leader = l
+	c.fleet.nextAsk, c.fleet.nextList = min(c.fleet.nextAsk, now), now // prices and machines as they are now
 	c.log.Info().Uint64("token", token).Msg("leading")
 	c.stream.join()
 	for _, g := range l.ledgers {
@@ -435,11 +437,8 @@
 		}
 		if p.job != nil && p.job.spec != nil {
 			p.cpus, p.gpus, p.memory = p.job.spec.Cpus, p.job.spec.Gpus, p.job.spec.MemoryGb
-			if m.images == nil {
-				m.images = make(map[string]bool)
-			}
-			if t.State != protocol.TaskFetching {
-				m.images[p.job.spec.Image] = true
+			if typ := l.c.fleet.types[m.typ]; typ != nil && t.State != protocol.TaskExited {
+				m.useImage(p.job.spec.Image, p.job.spec.ImageGb, typ.CacheGB, now)
 			}
 		}
 		if t.State != protocol.TaskExited {
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -304,6 +304,7 @@
 		return
 	}
 	l.countTeams()
+	l.refreshImages(now)
 	uc, ug, blocked := l.unseen(now)
 	wall := l.c.env.Wall().UnixMilli()
 	byLink := make(map[Link]*offer)
@@ -323,6 +324,10 @@
 				refused[j] = true
 				continue
 			}
+			if m.images[j.spec.Image] == nil && !l.worthFetching(j, m) {
+				refused[j] = true
+				continue
+			}
 			if r := l.rankOf(j, wall); best == nil || r.before(bestRank) || (r == bestRank && j.id < best.id) {
 				best, bestRank = j, r
 			}
@@ -360,7 +365,7 @@
 		l.drain(m, a, now)
 		return
 	}
-	short := l.urgentShort(now)
+	short := l.urgentShort(m, now)
 	if short <= 0 {
 		return
 	}
@@ -399,32 +404,48 @@
 		Task: protocol.TaskName(t.key.job, int(t.key.task)), Attempt: t.key.attempt, GraceS: &grace})
 }
 
-// urgentShort is how many CPUs urgent waiting tasks lack, beyond what is free
-// or about to be.
-func (l *leader) urgentShort(now time.Duration) float64 {
+// urgentShort is how many CPUs the urgent waiting tasks that a machine could
+// take lack, beyond what is free or about to be where they could go.
+func (l *leader) urgentShort(m *machine, now time.Duration) float64 {
+	var urgent []*leaderJob
+	for _, j := range l.jobs {
+		if !j.closed && j.prio >= protocol.PriorityHigh && j.waiting > j.offered && j.team != nil && j.ledger.from != nil && l.couldTake(m, j) {
+			urgent = append(urgent, j)
+		}
+	}
+	if len(urgent) == 0 {
+		return 0
+	}
 	l.countTeams()
 	uc, ug, blocked := l.unseen(now)
 	need := 0.0
-	for _, j := range l.jobs {
-		if j.closed || j.prio < protocol.PriorityHigh || j.team == nil || j.ledger.from == nil || !l.withinLimit(j, uc, ug, blocked) {
+	for _, j := range urgent {
+		if !l.withinLimit(j, uc, ug, blocked) {
 			continue
 		}
-		n := float64(max(0, j.waiting-j.offered)) * j.spec.Cpus
+		n := float64(j.waiting-j.offered) * j.spec.Cpus
 		if limit := j.team.cfg.CPUsMax; limit > 0 {
 			n = math.Min(n, math.Max(0, limit-j.team.cpus))
 		}
 		need += n
 	}
-	if need == 0 {
-		return 0
-	}
-	for _, m := range l.machines {
-		if !l.usable(m, now) {
+	for _, o := range l.machines {
+		if need <= 0 {
+			break
+		}
+		if !l.usable(o, now) {
 			continue
 		}
-		need -= math.Max(0, l.free(m).cpus)
-		for i := range m.tasks {
-			if t := &m.tasks[i]; t.stopped && t.state != protocol.TaskExited {
+		takes := false
+		for _, j := range urgent {
+			takes = takes || l.couldTake(o, j)
+		}
+		if !takes {
+			continue
+		}
+		need -= math.Max(0, l.free(o).cpus)
+		for i := range o.tasks {
+			if t := &o.tasks[i]; t.stopped && t.state != protocol.TaskExited {
 				need -= t.cpus
 			}
 		}
@@ -432,6 +453,16 @@
 	return need
 }
 
+// couldTake tells whether an empty machine would be offered to a job.
+func (l *leader) couldTake(m *machine, j *leaderJob) bool {
+	t := l.c.fleet.types[m.typ]
+	if t == nil || !allows(j.spec, m.typ, m.zone, m.spot) || l.failsHere(j, m) {
+		return false
+	}
+	whole := room{t.CPUs, t.GPUs, t.MemoryGB}
+	return whole.fits(j.spec) && !l.keptForOthers(j.spec, m.typ)
+}
+
 // drain stops, on a machine that the cloud takes back soon, what cannot end
 // in time: it may start elsewhere as soon as the machine confirms the stop,
 // not only after a lease.
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -853,3 +853,19 @@
 	want(t, "machines", len(w.nodes["a"].core.leader.machines), before)
 	want(t, "a good report", k.report().Status, 200)
 }
+
+// Urgent work that would not be offered the room must not stop anything for
+// it: the stopped tasks would start again and be stopped again for ever.
+func TestNothingIsStoppedForWorkThatGoesElsewhere(t *testing.T) {
+	w := newWorld(t, "a")
+	w.cloud.more = []protocol.MachineType{{Name: "s2", CPUs: 2, MemoryGB: 8, CacheGB: 50, FetchRate: 1, Price: 0.3, SpotPrice: 0.1, BootS: 30, Zones: []string{"z1"}}}
+	k := w.worker("vm-1", "z1")
+	w.run(15 * time.Second) // the leader reads prices anew
+	want(t, "submit", w.nodes["a"].submit(form("wk-1", 2).with("vcpus", 4.0)).Status, 201)
+	w.run(5 * time.Second)
+	want(t, "running", len(k.running()), 2)
+	want(t, "urgent", w.nodes["a"].submit(form("wk-2", 4).with("urgency", "urgent")).Status, 201)
+	w.run(6 * time.Second)
+	want(t, "standard work runs on", strings.Join(k.running(), " "), "wk-1/0 wk-1/1")
+	want(t, "starts", k.starts, 2)
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -700,7 +700,8 @@
 	requests []protocol.RentRequest
 	released []string
 	refuse   bool
-	silent   bool // carries requests out but gives no answer
+	more     []protocol.MachineType // besides m8
+	silent   bool                   // carries requests out but gives no answer
 	n        int
 }
 
@@ -713,8 +714,8 @@
 	answer := func(status int, v any) { done(bookkeeping.Result{Status: status, Body: c.w.codec.Encode(v)}) }
 	switch {
 	case path == "/catalog":
-		answer(200, protocol.Catalog{Types: []protocol.MachineType{{Name: "m8", CPUs: 8, MemoryGB: 64, CacheGB: 50,
-			FetchRate: 1, Price: 1, SpotPrice: 0.3, BootS: 30, Zones: []string{"z1", "z2"}}}})
+		answer(200, protocol.Catalog{Types: append([]protocol.MachineType{{Name: "m8", CPUs: 8, MemoryGB: 64, CacheGB: 50,
+			FetchRate: 1, Price: 1, SpotPrice: 0.3, BootS: 30, Zones: []string{"z1", "z2"}}}, c.more...)})
 	case path == "/hosts" && method == "POST":
 		var q protocol.RentRequest
 		if err := c.w.codec.Decode(body, &q); err != nil {
