--- a/internal/coordination/images.go
+++ b/internal/coordination/images.go
@@ -8,7 +8,11 @@
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 )
 
-const imagesEvery = 300 * time.Millisecond
+const (
+	imagesEvery = 300 * time.Millisecond
+	bigFetch    = 10 * time.Second // a fetch that others should not slow down
+	fetchPays   = 1.0              // how many times its length a fetch must save
+)
 
 // cachedImage is an image that a machine has, or is fetching.
 type cachedImage struct {
@@ -105,18 +109,41 @@
 	return seconds(s.ImageGb / typ.FetchRate)
 }
 
+// wait is how long the tasks that wait for an image will wait, at the
+// present rate, for the machines that have it.
+func (t *imageTable) wait(image string) time.Duration {
+	e := t.load[image]
+	if e == nil || e.needCPUs+e.needMemory == 0 {
+		return 0
+	}
+	if e.cpus == 0 || e.memory == 0 {
+		return time.Hour
+	}
+	return seconds(math.Min(3600, math.Max(e.needCPUs/e.cpus, e.needMemory/e.memory)))
+}
+
 // worthFetching tells whether a machine without a job's image should fetch
-// it: only if the tasks that wait would wait longer for the machines that
-// have it.
+// it. A fetch holds the room of the tasks that wait for it, so it has to pay:
+// the job's tasks must face a wait that is longer, by a good part of the
+// fetch, than that of the work whose images the machine has already. Two
+// fetches at once would only slow each other down.
 func (l *leader) worthFetching(j *leaderJob, m *machine) bool {
 	fetch := fetchTime(j.spec, l.c.fleet.types[m.typ])
 	if fetch < time.Second {
 		return true
 	}
-	e := l.images.load[j.spec.Image]
-	if e == nil || e.cpus == 0 {
-		return true
+	for i := range m.tasks {
+		t := &m.tasks[i]
+		if t.state == protocol.TaskFetching && t.job != nil && t.job.spec != nil && t.job.spec.Image != j.spec.Image &&
+			fetchTime(t.job.spec, l.c.fleet.types[m.typ]) > bigFetch {
+			return false
+		}
+	}
+	own := time.Duration(0)
+	if j.prio < protocol.PriorityHigh {
+		for name := range m.images {
+			own = max(own, l.images.wait(name))
+		}
 	}
-	wait := math.Max(e.needCPUs/e.cpus, e.needMemory/math.Max(e.memory, 1e-9))
-	return seconds(wait) > fetch
+	return l.images.wait(j.spec.Image) > own+time.Duration(float64(fetch)*fetchPays)
 }
