--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
@@ -369,19 +370,15 @@
 	if short <= 0 {
 		return
 	}
+	limit := l.victimLimit(short, now)
 	for short > 0 {
 		var victim *placed
+		cost := limit
 		for i := range m.tasks {
-			t := &m.tasks[i]
-			if t.stopped || t.job == nil || t.job.closed || t.job.spec == nil || t.job.prio >= protocol.PriorityHigh ||
-				(t.state != protocol.TaskRunning && t.state != protocol.TaskFetching) || m.orders[t.key] != nil {
-				continue
-			}
-			if t.state == protocol.TaskRunning && l.runTime(t.job.spec)-(now-t.since) < almostDone {
-				continue
-			}
-			if victim == nil || t.job.prio < victim.job.prio || (t.job.prio == victim.job.prio && t.since > victim.since) {
-				victim = t
+			if t := &m.tasks[i]; l.stoppable(m, t, now) {
+				if c := l.stopCost(m, t, now); c <= cost {
+					victim, cost = t, c
+				}
 			}
 		}
 		if victim == nil {
@@ -393,6 +390,55 @@
 	}
 }
 
+// stoppable tells whether a task may make room for urgent ones.
+func (l *leader) stoppable(m *machine, t *placed, now time.Duration) bool {
+	if t.stopped || t.job == nil || t.job.closed || t.job.spec == nil || t.job.prio >= protocol.PriorityHigh || m.orders[t.key] != nil {
+		return false
+	}
+	return t.state == protocol.TaskFetching || (t.state == protocol.TaskRunning && l.runTime(t.job.spec)-(now-t.since) >= almostDone)
+}
+
+// stopCost is the work that stopping a task loses. A fetch that another task
+// on the machine waits for goes on.
+func (l *leader) stopCost(m *machine, t *placed, now time.Duration) time.Duration {
+	if t.state == protocol.TaskFetching {
+		for i := range m.tasks {
+			o := &m.tasks[i]
+			if o != t && o.state == protocol.TaskFetching && !o.stopped && o.job != nil && o.job.spec != nil && o.job.spec.Image == t.job.spec.Image {
+				return 0
+			}
+		}
+	}
+	return now - t.since
+}
+
+// victimLimit is what the dearest task costs that has to be stopped anywhere
+// to make up for a shortage, if the cheapest are taken.
+func (l *leader) victimLimit(short float64, now time.Duration) time.Duration {
+	type victim struct {
+		cost time.Duration
+		cpus float64
+	}
+	var all []victim
+	for _, m := range l.machines {
+		if !l.usable(m, now) {
+			continue
+		}
+		for i := range m.tasks {
+			if t := &m.tasks[i]; l.stoppable(m, t, now) {
+				all = append(all, victim{l.stopCost(m, t, now), t.cpus})
+			}
+		}
+	}
+	sort.Slice(all, func(i, k int) bool { return all[i].cost < all[k].cost })
+	for _, v := range all {
+		if short -= v.cpus; short <= 0 {
+			return v.cost
+		}
+	}
+	return time.Duration(math.MaxInt64)
+}
+
 // stopTask orders a task to save if it can and to stop.
 func (l *leader) stopTask(m *machine, a *answer, t *placed) {
 	grace := 0.0
@@ -445,7 +491,12 @@
 		}
 		need -= math.Max(0, l.free(o).cpus)
 		for i := range o.tasks {
-			if t := &o.tasks[i]; t.stopped && t.state != protocol.TaskExited {
+			t := &o.tasks[i]
+			if t.state == protocol.TaskExited {
+				continue
+			}
+			soon := t.state == protocol.TaskRunning && t.job != nil && t.job.spec != nil && l.runTime(t.job.spec)-(now-t.since) < almostDone
+			if t.stopped || soon {
 				need -= t.cpus
 			}
 		}
