--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -11,7 +11,7 @@
 
 const (
 	maxMachines    = 20000
-	almostDone     = 4 * time.Second // a task this close to its end is not stopped for another
+	almostDone     = 3 * time.Second // a task this close to its end is not stopped for another
 	keptFor        = 3 * time.Minute // how long a type stays reserved for the jobs that need it
 	sickErrors     = 3
 	estimateWeight = 0.2
@@ -395,7 +395,7 @@
 	if t.stopped || t.job == nil || t.job.closed || t.job.spec == nil || t.job.prio >= protocol.PriorityHigh || m.orders[t.key] != nil {
 		return false
 	}
-	return t.state == protocol.TaskFetching || (t.state == protocol.TaskRunning && l.runTime(t.job.spec)-(now-t.since) >= almostDone)
+	return t.state == protocol.TaskFetching || (t.state == protocol.TaskRunning && !l.endsSoon(t, now))
 }
 
 // stopCost is the work that stopping a task loses. A fetch that another task
@@ -495,8 +495,7 @@
 			if t.state == protocol.TaskExited {
 				continue
 			}
-			soon := t.state == protocol.TaskRunning && t.job != nil && t.job.spec != nil && l.runTime(t.job.spec)-(now-t.since) < almostDone
-			if t.stopped || soon {
+			if t.stopped || l.endsSoon(t, now) {
 				need -= t.cpus
 			}
 		}
@@ -504,6 +503,16 @@
 	return need
 }
 
+// endsSoon tells whether a task is expected to end within moments. One that
+// should have ended a while ago may go on for long.
+func (l *leader) endsSoon(t *placed, now time.Duration) bool {
+	if t.state != protocol.TaskRunning || t.job == nil || t.job.spec == nil {
+		return false
+	}
+	left := l.runTime(t.job.spec) - (now - t.since)
+	return left < almostDone && left > -almostDone/2
+}
+
 // couldTake tells whether an empty machine would be offered to a job.
 func (l *leader) couldTake(m *machine, j *leaderJob) bool {
 	t := l.c.fleet.types[m.typ]
