A job's running tasks count as room that it will use again

Cause: for jobs that may wait in line the fleet was sized for their waiting tasks beside the running ones.

--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -21,7 +21,7 @@
 	settleIn       = 6 * time.Second // a new leader looks before it rents
 	maxRentPerTick = 60
 	rentTries      = 20
-	waveShare      = 0.5 // of a deadline's slack that waiting in line may take
+	waveShare      = 0.25 // of a deadline's slack that waiting in line may take
 )
 
 // variant is what can be rented.
@@ -170,7 +170,7 @@
 		return n
 	}
 	waves := 1 + slack*waveShare/run
-	return min(n, int(math.Ceil(float64(n+j.located)/waves)))
+	return min(n, max(0, int(math.Ceil(float64(n+j.located)/waves))-j.located))
 }
 
 // rent asks for machines for the waiting tasks that no machine, there or to
