--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -214,7 +214,7 @@
 		OfferWait:      300 * time.Millisecond,
 		StartsPerReply: 64,
 		WriteShare:     0.8,
-		IdleReturn:     20 * time.Second,
+		IdleReturn:     30 * time.Second,
 		RequestTimeout: 1500 * time.Millisecond,
 	}
 }
