Make room for urgent tasks where their image is

Cause: tasks were stopped on machines that the urgent ones were then not offered, since they would have had to fetch their image there.

--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -453,6 +453,7 @@
 // urgentShort is how many CPUs the urgent waiting tasks that a machine could
 // take lack, beyond what is free or about to be where they could go.
 func (l *leader) urgentShort(m *machine, now time.Duration) float64 {
+	l.refreshImages(now)
 	var urgent []*leaderJob
 	for _, j := range l.jobs {
 		if !j.closed && j.prio >= protocol.PriorityHigh && j.waiting > j.offered && j.team != nil && j.ledger.from != nil && l.couldTake(m, j) {
@@ -520,7 +521,8 @@
 		return false
 	}
 	whole := room{t.CPUs, t.GPUs, t.MemoryGB}
-	return whole.fits(j.spec) && !l.keptForOthers(j.spec, m.typ)
+	return whole.fits(j.spec) && !l.keptForOthers(j.spec, m.typ) &&
+		(m.images[j.spec.Image] != nil || l.worthFetching(j, m))
 }
 
 // drain stops, on a machine that the cloud takes back soon, what cannot end
