--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -22,7 +22,6 @@
 	maxRentPerTick = 60
 	rentTries      = 20
 	waveShare      = 0.25 // of a deadline's slack that waiting in line may take
-	dearWaveShare  = 0.8  // the same before an ordinary machine is rented in place of a spot one
 )
 
 // variant is what can be rented.
@@ -157,7 +156,7 @@
 // wanted is how many of a job's waiting tasks should have room soon. Urgent
 // work wants all at once; other work may take turns on the same machines as
 // long as its deadline leaves time for that.
-func (r *renting) wanted(j *leaderJob, wallMs int64, share float64) int {
+func (r *renting) wanted(j *leaderJob, wallMs int64) int {
 	n := max(0, j.waiting-j.offered)
 	if j.team.cfg.CPUsMax > 0 && j.spec.Cpus > 0 {
 		n = min(n, int(math.Max(0, j.team.cfg.CPUsMax-j.team.cpus)/j.spec.Cpus))
@@ -170,7 +169,7 @@
 	if slack <= run || run <= 0 {
 		return n
 	}
-	waves := 1 + slack*share/run
+	waves := 1 + slack*waveShare/run
 	return min(n, max(0, int(math.Ceil(float64(n+j.located)/waves))-j.located))
 }
 
@@ -203,9 +202,7 @@
 	ask := make(map[variant]int)
 	left := maxRentPerTick
 	for _, j := range jobs {
-		n := r.wanted(j, wall, waveShare)
-		// What may wait longer does so before it has a dear machine rented.
-		patient := n - r.wanted(j, wall, dearWaveShare)
+		n := r.wanted(j, wall)
 		for _, s := range have {
 			if r.l.keptForOthers(j.spec, s.v.typ) || !allows(j.spec, s.v.typ, s.v.zone, s.v.spot) {
 				continue
@@ -220,9 +217,6 @@
 			if !ok {
 				break
 			}
-			if !v.spot && j.spec.Spot && n <= patient {
-				break
-			}
 			t := r.l.c.fleet.types[v.typ]
 			s := &supply{v: v, room: room{t.CPUs, t.GPUs, t.MemoryGB}}
 			for n > 0 && s.room.fits(j.spec) {
