--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -161,19 +161,11 @@
 	if j.team.cfg.CPUsMax > 0 && j.spec.Cpus > 0 {
 		n = min(n, int(math.Max(0, j.team.cfg.CPUsMax-j.team.cpus)/j.spec.Cpus))
 	}
-	if j.spec.DeadlineMs == 0 || n == 0 {
+	if j.prio >= protocol.PriorityHigh || j.spec.DeadlineMs == 0 || n == 0 {
 		return n
 	}
 	run := r.l.runTime(j.spec).Seconds()
 	slack := float64(j.spec.DeadlineMs-wallMs)/1000 - run
-	if j.prio >= protocol.PriorityHigh {
-		if slack < r.soonestBoot(j.spec) && r.displaceable() >= float64(n)*j.spec.Cpus {
-			// No machine would come up in time: the tasks take the place of
-			// others, which wait in their stead and are counted then.
-			return 0
-		}
-		return n
-	}
 	if slack <= run || run <= 0 {
 		return n
 	}
@@ -181,30 +173,6 @@
 	return min(n, max(0, int(math.Ceil(float64(n+j.located)/waves))-j.located))
 }
 
-// soonestBoot is the usual boot time, in seconds, of the type that is up
-// first among those a task fits on.
-func (r *renting) soonestBoot(s *meshpb.JobDemand) float64 {
-	soonest := math.Inf(1)
-	for name, t := range r.l.c.fleet.types {
-		whole := room{t.CPUs, t.GPUs, t.MemoryGB}
-		if whole.fits(s) && !r.l.keptForOthers(s, name) {
-			soonest = math.Min(soonest, t.BootS)
-		}
-	}
-	return soonest
-}
-
-// displaceable is how many CPUs run work that urgent tasks may stop.
-func (r *renting) displaceable() float64 {
-	sum := 0.0
-	for _, j := range r.l.jobs {
-		if !j.closed && j.spec != nil && j.prio < protocol.PriorityHigh {
-			sum += float64(j.located) * j.spec.Cpus
-		}
-	}
-	return sum
-}
-
 // rent asks for machines for the waiting tasks that no machine, there or to
 // come, has room for.
 func (r *renting) rent(now time.Duration) {
