--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -18,6 +18,7 @@
 	jobPrefix    = "job/"
 	ownPrefix    = "own/"
 	donePrefix   = "done/"
+	fleetPrefix  = "fleet/"
 )
 
 // chunkTasks is how many tasks one record of finished tasks covers: about a
@@ -496,6 +497,42 @@
 	})
 }
 
+// RecordMachines writes the names of machines that may be given tasks, under
+// a key that is new, as long as the leader key has the given stamp.
+func (s *Store) RecordMachines(token uint64, n int, names []string, done func(key string, r TxnResult)) {
+	key := fleetPrefix + strconv.FormatUint(token, 10) + "-" + strconv.Itoa(n)
+	s.Txn(false, protocol.Txn{
+		If:   []protocol.Condition{{Key: LeaderKey, Stamp: token}},
+		Then: []protocol.Change{{Put: key, Value: s.codec.Encode(names)}},
+	}, func(r TxnResult) { done(key, r) })
+}
+
+// RewriteRecord leaves only the given machines in a record, or drops it when
+// there are none.
+func (s *Store) RewriteRecord(token uint64, key string, names []string, done func(TxnResult)) {
+	change := protocol.Change{Put: key, Value: s.codec.Encode(names)}
+	if len(names) == 0 {
+		change = protocol.Change{Delete: key}
+	}
+	s.Txn(false, protocol.Txn{
+		If:   []protocol.Condition{{Key: LeaderKey, Stamp: token}},
+		Then: []protocol.Change{change},
+	}, done)
+}
+
+// RecordedMachines reads the names of all recorded machines, by record.
+func (s *Store) RecordedMachines(done func(records map[string][]string, ok bool)) {
+	s.List(fleetPrefix, func(items []protocol.Pair, _ uint64, ok bool) {
+		records := make(map[string][]string, len(items))
+		for _, it := range items {
+			names, err := s.codec.Texts(it.Value)
+			ok = ok && err == nil
+			records[it.Key] = names
+		}
+		done(records, ok)
+	})
+}
+
 // FlushEvery is how long finished tasks gather before they are written.
 const FlushEvery = 150 * time.Millisecond
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -136,11 +136,6 @@
 		}
 	}
 	f.listed = fresh
-	// A list that was asked for this long after the start of leadership holds
-	// every machine that was rented before it.
-	if began > l.since+seconds(2*f.c.cfg.Settings.Cloud.ListLagS)+time.Second {
-		l.roster = true
-	}
 	l.rent.onList(now)
 }
 
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -49,8 +49,9 @@
 	orders       map[taskKey]*meshpb.Order
 	idleSince    time.Duration
 	rentedAt     time.Duration // 0: not known
-	ours         bool          // rented under this leader
-	leaving      bool          // being returned: no offers any more
+	record       string        // state key that names it; without one it gets no starts
+	recording    bool
+	leaving      bool // being returned: no offers any more
 	releasing    bool
 	pending      *answer
 	images       map[string]*cachedImage
@@ -97,22 +98,24 @@
 
 // leader exists while this process holds the leader key.
 type leader struct {
-	c        *Core
-	token    uint64
-	since    time.Duration
-	machines map[string]*machine
-	jobs     map[string]*leaderJob
-	ledgers  map[string]*leaderLedger
-	teams    map[string]*teamState
-	offers   map[uint64]*offer
-	offerSeq uint64
-	reportAt time.Duration // last report that was answered 200
-	actingAt time.Duration // since when this member may act without a break
-	nextSlow time.Duration
-	roster   bool // every machine that may hold a task is known
-	rent     renting
-	est      map[string]*estimate
-	images   imageTable
+	c         *Core
+	token     uint64
+	since     time.Duration
+	machines  map[string]*machine
+	jobs      map[string]*leaderJob
+	ledgers   map[string]*leaderLedger
+	teams     map[string]*teamState
+	offers    map[uint64]*offer
+	offerSeq  uint64
+	reportAt  time.Duration // last report that was answered 200
+	actingAt  time.Duration // since when this member may act without a break
+	nextSlow  time.Duration
+	roster    bool // every machine that may hold a task is known
+	records   int
+	rewriting map[string]bool
+	rent      renting
+	est       map[string]*estimate
+	images    imageTable
 }
 
 // answer is a report's answer that waits for its owners' picks.
@@ -144,7 +147,7 @@
 	l := &leader{
 		c: c, token: token, since: now, reportAt: now, actingAt: now, machines: make(map[string]*machine),
 		jobs: make(map[string]*leaderJob), ledgers: make(map[string]*leaderLedger),
-		teams: make(map[string]*teamState), offers: make(map[uint64]*offer), est: make(map[string]*estimate),
+		teams: make(map[string]*teamState), offers: make(map[uint64]*offer), est: make(map[string]*estimate), rewriting: make(map[string]bool),
 	}
 	for i := range c.cfg.Settings.Teams {
 		t := &c.cfg.Settings.Teams[i]
@@ -161,6 +164,7 @@
 	for _, g := range l.ledgers {
 		l.countLedger(g)
 	}
+	l.readRoster()
 	c.beat(now)
 }
 
@@ -387,6 +391,9 @@
 		l.giveUp(m.pending)
 	}
 	l.note(m, r, now)
+	if m.record == "" && !m.recording {
+		l.recordMachines()
+	}
 	l.passOn(m, r, now)
 	a := &answer{m: m, reply: reply, at: now, session: r.Session, seq: r.Seq, open: make(map[uint64]*offer)}
 	a.commands = l.clearing(m)
@@ -680,14 +687,8 @@
 // slow does what has to be done once a second.
 func (l *leader) slow(now time.Duration) {
 	span := l.c.leaseSpan()
-	if now-l.since > span {
-		l.roster = true
-	}
-	for name, m := range l.machines {
-		if m.gone && now-m.heard > tombstoneFor {
-			delete(l.machines, name)
-		}
-	}
+	l.forgetMachines(now)
+	l.recordMachines()
 	l.sweepClosed(now, span)
 	l.settle(now, span)
 	if l.c.session.mayAct(now) {
@@ -756,7 +757,7 @@
 			if !ok {
 				break
 			}
-			ok = m.gone || m.currentAt > g.joinedAt || now-max(m.heard, g.joinedAt) > span
+			ok = m.gone || m.record == "" || m.currentAt > g.joinedAt || now-max(m.heard, g.joinedAt) > span
 		}
 		if ok {
 			g.settled = true
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -60,7 +60,7 @@
 
 // usable tells whether a machine may get starts at all.
 func (l *leader) usable(m *machine, now time.Duration) bool {
-	return m.reported && !m.gone && !m.leaving && !m.sick && m.noticeAt == 0 && now-m.heard <= l.c.silenceAfter()
+	return m.reported && m.record != "" && !m.gone && !m.leaving && !m.sick && m.noticeAt == 0 && now-m.heard <= l.c.silenceAfter()
 }
 
 // allows tells whether a job may run on a machine.
@@ -111,7 +111,7 @@
 		if t == nil {
 			continue
 		}
-		dark := m.currentAt == 0 && !m.ours
+		dark := m.currentAt == 0 && m.record != ""
 		for i := range m.tasks {
 			dark = dark || (m.tasks[i].job == nil && m.tasks[i].state != protocol.TaskExited)
 		}
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -314,7 +314,6 @@
 				m = &machine{name: n, typ: q.v.typ, zone: q.v.zone, spot: q.v.spot}
 				r.l.machines[n] = m
 			}
-			m.ours = true
 			if m.rentedAt == 0 {
 				m.rentedAt = now
 			}
@@ -450,6 +449,9 @@
 
 func (r *renting) unwanted(m *machine, now time.Duration, silent, all map[string]int, keep map[*machine]bool) bool {
 	t := r.l.c.fleet.types[m.typ]
+	if r.l.vanished(m, now) {
+		return true
+	}
 	if !m.reported {
 		// A boot that failed is charged until it is returned.
 		return t != nil && m.rentedAt != 0 && now-m.rentedAt > r.bootLimit(t) && now-r.l.since > bootGrace
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -869,3 +869,30 @@
 	want(t, "standard work runs on", strings.Join(k.running(), " "), "wk-1/0 wk-1/1")
 	want(t, "starts", k.starts, 2)
 }
+
+// The next leader knows from the state service which machines have to be
+// heard of; machines that were returned hold nothing up.
+func TestNextLeaderKnowsTheMachines(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.worker("vm-1", "z1")
+	w.worker("vm-2", "z2")
+	w.run(3 * time.Second)
+	want(t, "submit", w.nodes["a"].submit(form("wk-1", 8)).Status, 201)
+	w.run(3 * time.Second)
+	want(t, "running", w.total(), 8)
+	w.workers["vm-2"].notice = 30.0
+	w.workers["vm-2"].finish("done")
+	w.run(6 * time.Second)
+	want(t, "returned", fmt.Sprint(w.cloud.released), "[vm-2]")
+	want(t, "more", w.nodes["a"].submit(form("wk-2", 8)).Status, 201)
+	for _, n := range w.names {
+		w.crash(n)
+	}
+	w.advance(8 * time.Second)
+	w.workers["vm-1"].finish("done")
+	for _, n := range w.names {
+		w.start(n)
+	}
+	w.run(6 * time.Second)
+	want(t, "running soon after", w.total(), 4)
+}
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -353,3 +353,12 @@
 	}
 	return s
 }
+
+// Texts reads a CBOR list of texts.
+func (c *Codec) Texts(b []byte) ([]string, error) {
+	var s []string
+	if err := c.dec.Unmarshal(b, &s); err != nil {
+		return nil, fmt.Errorf("cbor: %w", err)
+	}
+	return s, nil
+}
