Holders go on in an outage while every other member promises not to claim

Cause: in an outage nobody could tell it from being refused alone, so all placement stopped 4.6 s into it. A test plays 40 random mixes of refusals, outages, crashes and cuts and finds no two processes acting on one key.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -189,7 +189,7 @@
 // beat tells every member that this one lives and, from a leader that may
 // act, up to when all its reports have been passed on.
 func (c *Core) beat(now time.Duration) {
-	b := &meshpb.Beat{StateOk: c.session.mayAct(now)}
+	b := &meshpb.Beat{StateOk: c.session.leaseHolds(now)}
 	if c.leader != nil && c.session.mayAct(now) {
 		b.Token, b.ClockUs, b.LeaderOk = c.leader.token, now.Microseconds(), true
 	}
@@ -283,6 +283,10 @@
 		c.users.onAnswer(p, b.Answer)
 	case *meshpb.Frame_Handover:
 		c.session.onHandover(p, b.Handover)
+	case *meshpb.Frame_PromiseAsk:
+		c.session.onPromiseAsk(p, b.PromiseAsk)
+	case *meshpb.Frame_Promise:
+		c.session.onPromise(p, b.Promise)
 	}
 }
 
--- /dev/null
+++ b/internal/coordination/promise.go
@@ -0,0 +1,107 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+)
+
+// While the state service is away nobody can renew a lease, yet no lease
+// ends. A holder cannot tell that from being refused alone, so it may go on
+// past its own count of its lease only while every other member keeps
+// promising not to claim its keys. A promise binds its giver for a fixed
+// time, counted by the holder from when it asked; a restarted member, which
+// may have forgotten one, claims nothing of others for that long.
+
+const (
+	promiseSpan  = 2 * time.Second
+	promiseDrift = 5 * time.Millisecond // more than two clocks differ by in that time
+	askEvery     = 400 * time.Millisecond
+	askAfter     = 1500 * time.Millisecond // without a good renewal
+	askRounds    = 16                      // remembered
+)
+
+type promises struct {
+	bound   time.Duration            // this member claims nothing of others before
+	granted map[string]time.Duration // by member: when the last round it granted was asked
+	rounds  map[uint64]time.Duration // when each was asked
+	round   uint64
+	nextAsk time.Duration
+}
+
+func (p *promises) init(now time.Duration) {
+	p.bound = now + promiseSpan + promiseDrift
+	p.granted = make(map[string]time.Duration)
+	p.rounds = make(map[uint64]time.Duration)
+}
+
+// freeToClaim tells whether no promise, given or perhaps forgotten, binds
+// this member.
+func (p *promises) freeToClaim(now time.Duration) bool { return now > p.bound }
+
+// hold tells whether every other member is bound at present.
+func (p *promises) hold(c *Core, now time.Duration) bool {
+	span := promiseSpan - 2*promiseDrift - actMargin/2
+	for name := range c.peers {
+		asked, ok := p.granted[name]
+		if !ok || now >= asked+span {
+			return false
+		}
+	}
+	return true
+}
+
+// askPromises asks for promises once renewals fail.
+func (s *session) askPromises(now time.Duration) {
+	p := &s.promises
+	if s.lease == 0 || now < p.nextAsk || now-s.goodSent < min(askAfter, s.c.tune.StateLease/2) || len(s.c.peers) == 0 {
+		return
+	}
+	p.nextAsk = now + askEvery
+	p.round++
+	p.rounds[p.round] = now
+	delete(p.rounds, p.round-askRounds)
+	f := &meshpb.PromiseAsk{Round: p.round}
+	for name, l := range s.c.owner.ledgers {
+		f.Keys = append(f.Keys, &meshpb.HeldKey{Key: bookkeeping.LedgerKey(name), Stamp: l.book.Stamp()})
+	}
+	if s.c.leader != nil {
+		f.Keys = append(f.Keys, &meshpb.HeldKey{Key: bookkeeping.LeaderKey, Stamp: s.c.leader.token})
+	}
+	if len(f.Keys) == 0 {
+		return
+	}
+	for _, peer := range s.c.peers {
+		if peer.link != nil {
+			peer.link.Send(&meshpb.Frame{Body: &meshpb.Frame_PromiseAsk{PromiseAsk: f}})
+		}
+	}
+}
+
+// onPromiseAsk promises, unless a key is not the asker's any more as far as
+// this member knows, or a claim of its own is under way.
+func (s *session) onPromiseAsk(from *peer, f *meshpb.PromiseAsk) {
+	given := s.viewOK && len(f.Keys) > 0
+	for _, k := range f.Keys {
+		held := &s.leaderK
+		name := bookkeeping.LeaderKey
+		if k.Key != bookkeeping.LeaderKey {
+			name, _ = bookkeeping.LedgerOfKey(k.Key)
+			held = s.ledgers[name]
+		}
+		if held == nil || !held.present || held.holder.Member != from.member || s.claiming[name] {
+			given = false
+		}
+	}
+	if given {
+		s.promises.bound = max(s.promises.bound, s.c.now()+promiseSpan+promiseDrift)
+	}
+	from.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Promise{Promise: &meshpb.Promise{Round: f.Round, Given: given}}})
+}
+
+func (s *session) onPromise(from *peer, f *meshpb.Promise) {
+	if asked, ok := s.promises.rounds[f.Round]; ok && f.Given {
+		s.promises.granted[from.member] = max(s.promises.granted[from.member], asked)
+	}
+}
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -50,6 +50,7 @@
 	abstainTo  time.Duration
 	handoverAt time.Duration
 	joinedAt   time.Duration // when this member last had a stream from the leader
+	promises   promises
 }
 
 func (s *session) init(c *Core) {
@@ -62,16 +63,21 @@
 		s.ledgers[p.Member] = &heldKey{since: now}
 	}
 	s.leaderK.since = now
+	s.promises.init(now)
+}
+
+// leaseHolds tells whether the state lease surely lasts: it is counted from
+// when its last good renewal was sent.
+func (s *session) leaseHolds(now time.Duration) bool {
+	ttl := time.Duration(float64(s.c.tune.StateLease) / driftFactor)
+	return s.lease != 0 && now < s.goodSent+ttl-actMargin
 }
 
 // mayAct tells whether the keys attached to the lease are surely still this
-// process's: the lease is counted from when its last good renewal was sent.
+// process's: by the lease, or because every other member has promised not to
+// claim them.
 func (s *session) mayAct(now time.Duration) bool {
-	if s.lease == 0 {
-		return false
-	}
-	ttl := time.Duration(float64(s.c.tune.StateLease) / driftFactor)
-	return now < s.goodSent+ttl-actMargin
+	return s.leaseHolds(now) || (s.lease != 0 && s.promises.hold(s.c, now))
 }
 
 // leaderMember is the member that is thought to lead.
@@ -89,7 +95,8 @@
 		s.touch(now)
 	}
 	s.follow(now)
-	if s.lease == 0 || !s.viewOK || !s.mayAct(now) {
+	s.askPromises(now)
+	if !s.viewOK || !s.leaseHolds(now) {
 		return
 	}
 	if s.c.stream.from != nil || !s.leaderK.present || s.leaderK.holder.Member == s.c.cfg.Member {
@@ -263,6 +270,8 @@
 		}
 		mine := name == s.c.cfg.Member
 		switch {
+		case k.present && k.holder == s.c.me && !mine && !s.promises.freeToClaim(now):
+			// A claim of ours that was applied late; it may have been promised away since.
 		case k.present && k.holder.Member == s.c.cfg.Member:
 			// An earlier process of this member held it; that one is over.
 			// (A claim of this process whose answer was lost also ends up here.)
@@ -274,7 +283,7 @@
 			}
 		case !k.present && mine:
 			s.claim(name, 0)
-		case !k.present && s.c.leader != nil && now-k.since > takeoverAfter:
+		case !k.present && s.c.leader != nil && now-k.since > takeoverAfter && s.promises.freeToClaim(now):
 			if p := s.c.peers[name]; p == nil || p.link == nil || now-k.since > 3*takeoverAfter {
 				s.claim(name, 0)
 			}
@@ -335,7 +344,7 @@
 			s.electAt = now
 		}
 	}
-	if now < s.electAt {
+	if now < s.electAt || (!own && !s.promises.freeToClaim(now)) {
 		return
 	}
 	s.claiming[bookkeeping.LeaderKey] = true
