--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -11,7 +11,7 @@
 const (
 	watchHold      = 8 * time.Second
 	sessionRetry   = 400 * time.Millisecond
-	takeoverAfter  = 4 * time.Second // a free ledger is left this long to its own member
+	takeoverAfter  = 1500 * time.Millisecond // a free ledger is left this long to its own member
 	handoverEvery  = time.Second
 	abstainFor     = 25 * time.Second
 	cutOffAfter    = 6 * time.Second // without a stream from the leader, an owner gives its ledgers up
@@ -284,7 +284,7 @@
 		case !k.present && mine:
 			s.claim(name, 0)
 		case !k.present && s.c.leader != nil && now-k.since > takeoverAfter && s.promises.freeToClaim(now):
-			if p := s.c.peers[name]; p == nil || p.link == nil || now-k.since > 2*takeoverAfter {
+			if p := s.c.peers[name]; p == nil || p.link == nil || now-k.since > 3*takeoverAfter {
 				s.claim(name, 0)
 			}
 		}
