--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -133,7 +133,7 @@
 		v := variant{m.typ, m.zone, m.spot}
 		switch {
 		case r.l.usable(m, now):
-			out = append(out, &supply{m: m, v: v, room: r.l.free(m)})
+			out = append(out, &supply{m: m, v: v, room: r.soonFree(m, t, now)})
 		case !m.reported && now-m.rentedAt < r.bootLimit(t):
 			out = append(out, &supply{m: m, v: v, room: room{t.CPUs, t.GPUs, t.MemoryGB}})
 		}
@@ -149,6 +149,24 @@
 	return out
 }
 
+// soonFree is the room a machine has free by the time that another one, were
+// it rented now, would usually be up.
+func (r *renting) soonFree(m *machine, t *protocol.MachineType, now time.Duration) room {
+	free := r.l.free(m)
+	for i := range m.tasks {
+		p := &m.tasks[i]
+		if p.state != protocol.TaskRunning || p.job == nil || p.job.spec == nil {
+			continue
+		}
+		if left := r.l.runTime(p.job.spec) - (now - p.since); left < seconds(t.BootS) && left > -seconds(t.BootS) {
+			free.cpus += p.cpus
+			free.gpus += p.gpus
+			free.memory += p.memory
+		}
+	}
+	return free
+}
+
 func (r *renting) bootLimit(t *protocol.MachineType) time.Duration {
 	return seconds(t.BootS*bootFactor) + bootGrace
 }
