--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -15,7 +15,6 @@
 	maxRent        = 50  // machines in one request
 	maxRelease     = 100 // names in one request
 	refusedPause   = 12 * time.Second
-	soonShare      = 0.6              // of a boot time within which a running task counts as gone
 	minCharge      = 60 * time.Second // what a machine costs at the least
 	bootFactor     = 3.0              // a boot this many times longer than usual has failed
 	bootGrace      = 10 * time.Second
@@ -159,7 +158,7 @@
 		if p.state != protocol.TaskRunning || p.job == nil || p.job.spec == nil {
 			continue
 		}
-		if left := r.l.runTime(p.job.spec) - (now - p.since); left < seconds(t.BootS*soonShare) && left > -seconds(t.BootS) {
+		if left := r.l.runTime(p.job.spec) - (now - p.since); left < seconds(t.BootS) && left > -seconds(t.BootS) {
 			free.cpus += p.cpus
 			free.gpus += p.gpus
 			free.memory += p.memory
