The first process up after all have crashed may lead at once

Cause: a restarted member claims nothing for 2 s, since it may have forgotten a promise; when every other member's process is younger there is nobody left whom it could have promised anything.

--- a/cmd/cobaltvale/serve.go
+++ b/cmd/cobaltvale/serve.go
@@ -46,8 +46,8 @@
 	queue *coordination.Queue
 }
 
-func (m meshEvents) MeshUp(l *transport.MeshLink, member string, incarnation uint64) {
-	m.queue.Post(func() { m.core.LinkUp(l, member, incarnation) })
+func (m meshEvents) MeshUp(l *transport.MeshLink, member string) {
+	m.queue.Post(func() { m.core.LinkUp(l, member) })
 }
 
 func (m meshEvents) MeshFrame(l *transport.MeshLink, f *meshpb.Frame) {
@@ -80,7 +80,7 @@
 	for _, p := range file.Known {
 		peers = append(peers, transport.MeshPeer{Member: p.Member, Addr: p.Address})
 	}
-	mesh := transport.NewMesh(transport.MeshConfig{Self: file.Member, Incarnation: incarnation, Addr: file.MeshAddr,
+	mesh := transport.NewMesh(transport.MeshConfig{Self: file.Member, Addr: file.MeshAddr,
 		Peers: peers, Silence: meshSilence}, dialer, meshEvents{core, queue})
 	sockets := file.Settings.Limits.Sockets
 	server := transport.NewServer(transport.ServerConfig{
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -63,8 +63,8 @@
 	store *bookkeeping.Store
 	log   zerolog.Logger
 
-	incarnation uint64
-	me          bookkeeping.Holder
+	started time.Duration
+	me      bookkeeping.Holder
 
 	deferred []func()
 	inbox    []localFrame
@@ -89,7 +89,8 @@
 type peer struct {
 	member      string
 	link        Link // nil while down
-	incarnation uint64
+	askedUptime time.Duration
+	younger     bool // its process surely started after this one did
 	stateOK     bool
 	heard       time.Duration
 	downSince   time.Duration
@@ -115,7 +116,7 @@
 		return nil, err
 	}
 	c := &Core{
-		env: env, cfg: cfg, tune: tune, codec: codec, log: env.Log, incarnation: incarnation,
+		env: env, cfg: cfg, tune: tune, codec: codec, log: env.Log, started: env.Clock.Now(),
 		me:     bookkeeping.Holder{Member: cfg.Member, Nonce: strconv.FormatUint(incarnation, 36)},
 		peers:  make(map[string]*peer),
 		byLink: make(map[Link]*peer),
@@ -129,7 +130,7 @@
 	for _, p := range cfg.Known {
 		c.peers[p.Member] = &peer{member: p.Member, downSince: now}
 	}
-	c.self = &peer{member: cfg.Member, link: localLink{c}, incarnation: incarnation, stateOK: true}
+	c.self = &peer{member: cfg.Member, link: localLink{c}, stateOK: true}
 	c.owner.init(c)
 	c.users.init(c)
 	c.stream.c = c
@@ -203,7 +204,7 @@
 }
 
 // LinkUp tells that a stream to a member has begun.
-func (c *Core) LinkUp(l Link, member string, incarnation uint64) {
+func (c *Core) LinkUp(l Link, member string) {
 	p := c.peers[member]
 	if p == nil {
 		l.Close()
@@ -212,7 +213,8 @@
 	if p.link != nil {
 		c.LinkDown(p.link)
 	}
-	p.link, p.incarnation, p.heard = l, incarnation, c.now()
+	p.link, p.heard, p.askedUptime, p.younger = l, c.now(), c.now(), false
+	l.Send(&meshpb.Frame{Body: &meshpb.Frame_UptimeAsk{UptimeAsk: &meshpb.UptimeAsk{}}})
 	c.byLink[l] = p
 	c.stream.join()
 }
@@ -224,7 +226,7 @@
 		return
 	}
 	delete(c.byLink, l)
-	p.link, p.downSince, p.stateOK = nil, c.now(), false
+	p.link, p.downSince, p.stateOK, p.younger = nil, c.now(), false, false
 	if c.leader != nil {
 		c.leader.peerDown(p)
 	}
@@ -283,6 +285,12 @@
 		c.users.onAnswer(p, b.Answer)
 	case *meshpb.Frame_Handover:
 		c.session.onHandover(p, b.Handover)
+	case *meshpb.Frame_UptimeAsk:
+		p.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Uptime{Uptime: &meshpb.Uptime{Us: (c.now() - c.started).Microseconds()}}})
+	case *meshpb.Frame_Uptime:
+		// It was measured after the question went out, however late either
+		// was on its way.
+		p.younger = time.Duration(b.Uptime.Us)*time.Microsecond+promiseDrift < p.askedUptime-c.started
 	case *meshpb.Frame_PromiseAsk:
 		c.session.onPromiseAsk(p, b.PromiseAsk)
 	case *meshpb.Frame_Promise:
--- a/internal/coordination/promise.go
+++ b/internal/coordination/promise.go
@@ -23,6 +23,7 @@
 )
 
 type promises struct {
+	fresh   bool                     // bound only by what an earlier process may have promised
 	bound   time.Duration            // this member claims nothing of others before
 	granted map[string]time.Duration // by member: when the last round it granted was asked
 	rounds  map[uint64]time.Duration // when each was asked
@@ -31,14 +32,26 @@
 }
 
 func (p *promises) init(now time.Duration) {
+	p.fresh = true
 	p.bound = now + promiseSpan + promiseDrift
 	p.granted = make(map[string]time.Duration)
 	p.rounds = make(map[uint64]time.Duration)
 }
 
 // freeToClaim tells whether no promise, given or perhaps forgotten, binds
-// this member.
-func (p *promises) freeToClaim(now time.Duration) bool { return now > p.bound }
+// this member. An earlier process of it cannot have promised anything to
+// processes that started after this one.
+func (p *promises) freeToClaim(c *Core, now time.Duration) bool {
+	if now > p.bound {
+		return true
+	}
+	for _, peer := range c.peers {
+		if !peer.younger {
+			return false
+		}
+	}
+	return p.fresh
+}
 
 // hold tells whether every other member is bound at present.
 func (p *promises) hold(c *Core, now time.Duration) bool {
@@ -95,6 +108,7 @@
 		}
 	}
 	if given {
+		s.promises.fresh = false
 		s.promises.bound = max(s.promises.bound, s.c.now()+promiseSpan+promiseDrift)
 	}
 	from.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Promise{Promise: &meshpb.Promise{Round: f.Round, Given: given}}})
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -270,7 +270,7 @@
 		}
 		mine := name == s.c.cfg.Member
 		switch {
-		case k.present && k.holder == s.c.me && !mine && !s.promises.freeToClaim(now):
+		case k.present && k.holder == s.c.me && !mine && !s.promises.freeToClaim(s.c, now):
 			// A claim of ours that was applied late; it may have been promised away since.
 		case k.present && k.holder.Member == s.c.cfg.Member:
 			// An earlier process of this member held it; that one is over.
@@ -283,7 +283,7 @@
 			}
 		case !k.present && mine:
 			s.claim(name, 0)
-		case !k.present && s.c.leader != nil && now-k.since > takeoverAfter && s.promises.freeToClaim(now):
+		case !k.present && s.c.leader != nil && now-k.since > takeoverAfter && s.promises.freeToClaim(s.c, now):
 			if p := s.c.peers[name]; p == nil || p.link == nil || now-k.since > 3*takeoverAfter {
 				s.claim(name, 0)
 			}
@@ -344,7 +344,7 @@
 			s.electAt = now
 		}
 	}
-	if now < s.electAt || (!own && !s.promises.freeToClaim(now)) {
+	if now < s.electAt || (!own && !s.promises.freeToClaim(s.c, now)) {
 		return
 	}
 	s.claiming[bookkeeping.LeaderKey] = true
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -136,8 +136,8 @@
 	la, lb := &fakeLink{w: w, to: nb, toCore: nb.core}, &fakeLink{w: w, to: na, toCore: na.core}
 	la.peer, lb.peer = lb, la
 	na.links[b], nb.links[a] = la, lb
-	na.core.LinkUp(la, b, nb.core.incarnation)
-	nb.core.LinkUp(lb, a, na.core.incarnation)
+	na.core.LinkUp(la, b)
+	nb.core.LinkUp(lb, a)
 }
 
 // cut ends the stream between two members, in both directions.
--- a/internal/transport/loopback_test.go
+++ b/internal/transport/loopback_test.go
@@ -134,7 +134,7 @@
 	return &meshLog{up: make(chan *MeshLink, 8), frames: make(chan *meshpb.Frame, 1000), down: make(chan *MeshLink, 8)}
 }
 
-func (m *meshLog) MeshUp(l *MeshLink, _ string, _ uint64) { m.up <- l }
+func (m *meshLog) MeshUp(l *MeshLink, _ string)           { m.up <- l }
 func (m *meshLog) MeshFrame(_ *MeshLink, f *meshpb.Frame) { m.frames <- f }
 func (m *meshLog) MeshDown(l *MeshLink)                   { m.down <- l }
 
@@ -142,7 +142,7 @@
 	addrA, addrB := freeAddr(t), freeAddr(t)
 	start := func(self, addr, other, otherAddr string) *meshLog {
 		log := newMeshLog()
-		m := NewMesh(MeshConfig{Self: self, Incarnation: 7, Addr: addr, Silence: time.Minute,
+		m := NewMesh(MeshConfig{Self: self, Addr: addr, Silence: time.Minute,
 			Peers: []MeshPeer{{Member: other, Addr: otherAddr}}}, newDialer(t), log)
 		done := make(chan error, 1)
 		go func() { done <- m.Run() }()
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -32,7 +32,7 @@
 // MeshEvents takes what happens on the mesh. Calls come from event loops and
 // must not block for long.
 type MeshEvents interface {
-	MeshUp(l *MeshLink, member string, incarnation uint64)
+	MeshUp(l *MeshLink, member string)
 	MeshFrame(l *MeshLink, f *meshpb.Frame)
 	MeshDown(l *MeshLink)
 }
@@ -42,11 +42,10 @@
 
 // MeshConfig describes this member's side.
 type MeshConfig struct {
-	Self        string
-	Incarnation uint64
-	Addr        string
-	Peers       []MeshPeer
-	Silence     time.Duration // a link that says nothing for so long is cut
+	Self    string
+	Addr    string
+	Peers   []MeshPeer
+	Silence time.Duration // a link that says nothing for so long is cut
 }
 
 // Mesh keeps one link to each other member. The member whose name sorts
@@ -129,7 +128,7 @@
 }
 
 func (m *Mesh) hello() *meshpb.Frame {
-	return &meshpb.Frame{Body: &meshpb.Frame_Hello{Hello: &meshpb.Hello{Member: m.cfg.Self, Incarnation: m.cfg.Incarnation}}}
+	return &meshpb.Frame{Body: &meshpb.Frame_Hello{Hello: &meshpb.Hello{Member: m.cfg.Self}}}
 }
 
 func (m *Mesh) forget(l *MeshLink) {
@@ -306,7 +305,7 @@
 		}
 		l.Send(m.hello())
 	}
-	m.events.MeshUp(l, h.Member, h.Incarnation)
+	m.events.MeshUp(l, h.Member)
 	return true
 }
 
