--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -143,6 +143,47 @@
 	want(t, "running once the silent machine's lease is over", len(k1.running()), 4)
 }
 
+// Until the new leader has read which machines may hold tasks, it cannot know
+// of one that neither reports nor is listed yet.
+func TestRecoveredTasksWaitForTheRoster(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	k1, k2 := w.worker("vm-1", "z1"), w.worker("vm-2", "z2")
+	w.run(2 * time.Second)
+	want(t, "submit", w.nodes["a"].submit(form("wk-1", 8)).Status, 201)
+	w.run(3 * time.Second)
+	want(t, "running", w.total(), 8)
+	for _, n := range w.names {
+		w.crash(n)
+	}
+	w.advance(10 * time.Second)
+	w.state.hidden = "fleet/"
+	w.cloud.machines = w.cloud.machines[:1]
+	k1.finish("halted")
+	k2.hung = true
+	for _, n := range w.names {
+		w.start(n)
+	}
+	w.advance(3 * time.Second)
+	for range 8 {
+		k1.report()
+		w.advance(time.Second)
+	}
+	want(t, "copies", len(k1.running()), 0)
+}
+
+// A join that the leader did not take is sent again with its next beat.
+func TestLostJoinIsRepeated(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	lead, f := w.leader(), w.follower()
+	g := lead.core.leader.ledgers[f.name]
+	g.from, g.link, g.stamp = nil, nil, 0
+	f.core.stream.start[f.name] = -1
+	w.advance(3 * time.Second)
+	if g.from == nil || f.core.stream.start[f.name] <= 0 {
+		t.Fatal("the ledger is not joined")
+	}
+}
+
 // A report that was sent before the start and arrives after it does not list
 // the task; that proves nothing.
 func TestLateReportProvesNothing(t *testing.T) {
@@ -574,6 +615,8 @@
 	if w.leader() == lead {
 		t.Fatal("the refused member still leads")
 	}
+	lead.call("GET", "/ready", nil)
+	w.advance(4 * time.Second)
 	want(t, "ready", lead.call("GET", "/ready", nil).Status, 503)
 	w.state.away[lead.name] = false
 	w.advance(5 * time.Second)
@@ -587,12 +630,21 @@
 	w.worker("vm-1", "z1")
 	w.run(2 * time.Second)
 	lead := w.leader()
+	want(t, "submit", lead.submit(form("wk-1", 2)).Status, 201)
+	w.run(2 * time.Second)
 	w.state.away[""] = true
 	w.run(10 * time.Second)
 	want(t, "acts while all promise", lead.core.session.mayAct(w.now), true)
 	w.cut(lead.name, w.follower().name)
 	w.advance(2500 * time.Millisecond)
 	want(t, "acts without a promise", lead.core.session.mayAct(w.now), false)
+	// Reports are refused meanwhile; that is not the machines' silence.
+	w.run(12 * time.Second)
+	w.connect(lead.name, w.follower().name)
+	w.state.away[""] = false
+	w.run(8 * time.Second)
+	want(t, "machines returned for the outage", len(w.cloud.released), 0)
+	want(t, "running on", w.total(), 2)
 }
 
 // Whatever is refused to whom, and whoever restarts, two processes never act
@@ -976,3 +1028,28 @@
 	w.run(6 * time.Second)
 	want(t, "running soon after", w.total(), 4)
 }
+
+// A ledger that nobody answers for may have all its tasks running.
+func TestUnjoinedLedgersCountInFull(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.worker("vm-1", "z1")
+	w.run(2 * time.Second)
+	f, lead := w.follower(), w.leader()
+	want(t, "submit", f.submit(form("wk-1", 12).with("crew", "red")).Status, 201)
+	w.run(3 * time.Second)
+	want(t, "running", w.total(), 4)
+	w.crash(f.name)
+	lead.core.leader.countTeams()
+	want(t, "CPUs counted after the owner's end", lead.core.leader.teams["red"].cpus, 24)
+	w.state.hidden = "own/" + f.name
+	w.crash(lead.name)
+	w.advance(4 * time.Second)
+	next := w.leader()
+	want(t, "submit", next.submit(form("wk-2", 4).with("crew", "red")).Status, 201)
+	w.workers["vm-1"].finish("done")
+	w.run(3 * time.Second)
+	want(t, "running while a ledger is unread", w.total(), 0)
+	w.state.hidden = ""
+	w.run(12 * time.Second)
+	want(t, "running", w.total(), 4)
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -482,6 +482,7 @@
 	changes []stateChange
 	watches []*stateWatch
 	away    map[string]bool // members that get 503; "" is all of them
+	hidden  string          // a prefix whose listings get 503
 	// onTxn may take a transaction over: it returns true to swallow it, and
 	// may apply it later.
 	onTxn func(from string, t *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool
@@ -505,6 +506,7 @@
 }
 
 type stateWatch struct {
+	of     string // a member; while it is refused its watches wait
 	prefix string
 	from   uint64
 	until  time.Duration
@@ -568,11 +570,11 @@
 	case u.Path == "/kv":
 		s.list(u.Query(), done)
 	case u.Path == "/watch":
-		from, err := strconv.ParseUint(u.Query().Get("from"), 10, 64)
+		since, err := strconv.ParseUint(u.Query().Get("from"), 10, 64)
 		if err != nil {
 			s.w.t.Fatal(err)
 		}
-		s.watches = append(s.watches, &stateWatch{u.Query().Get("under"), from, s.w.now + 8*time.Second, done})
+		s.watches = append(s.watches, &stateWatch{from, u.Query().Get("under"), since, s.w.now + 8*time.Second, done})
 		s.pumpWatches()
 	case method == "GET":
 		key := strings.TrimPrefix(path, "/kv/")
@@ -588,6 +590,10 @@
 }
 
 func (s *fakeState) list(q url.Values, done func(bookkeeping.Result)) {
+	if s.hidden != "" && strings.HasPrefix(q.Get("under"), s.hidden) {
+		s.answer(done, 503, map[string]any{"error": "trouble"})
+		return
+	}
 	var names []string
 	for n := range s.keys {
 		if strings.HasPrefix(n, q.Get("under")) && n > q.Get("from") {
@@ -652,6 +658,10 @@
 	kept := s.watches[:0]
 	var ready []func()
 	for _, w := range s.watches {
+		if s.away[w.of] {
+			kept = append(kept, w)
+			continue
+		}
 		events := []any{}
 		for _, c := range s.changes {
 			if c.rev > w.from && strings.HasPrefix(c.key, w.prefix) {
