--- /dev/null
+++ b/internal/bookkeeping/ledger_test.go
@@ -0,0 +1,136 @@
+package bookkeeping
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+)
+
+// scripted is a state service that applies what it gets and keeps count.
+type scripted struct {
+	t     *testing.T
+	codec *protocol.Codec
+	now   time.Duration
+	rev   uint64
+	keys  map[string][]byte
+	sizes []int // changes of each transaction
+	total int
+}
+
+func (s *scripted) Now() time.Duration { return s.now }
+
+func (s *scripted) Call(method, path string, body []byte, _ time.Duration, done func(Result)) {
+	if path != "/multi" {
+		out := protocol.Pairs{Items: []protocol.Pair{}}
+		under, _, _ := strings.Cut(strings.TrimPrefix(path, "/kv?under="), "&")
+		for k, v := range s.keys {
+			if strings.HasPrefix(k, under) {
+				out.Items = append(out.Items, protocol.Pair{Key: k, Value: v})
+			}
+		}
+		done(Result{Status: 200, Body: s.codec.Encode(out)})
+		return
+	}
+	var t protocol.Txn
+	if err := s.codec.Decode(body, &t); err != nil {
+		s.t.Fatal(err)
+	}
+	s.sizes = append(s.sizes, len(t.Then))
+	s.total += len(t.Then)
+	s.rev++
+	for _, c := range t.Then {
+		if c.Put != "" {
+			s.keys[c.Put] = append([]byte(nil), c.Value...)
+		} else {
+			delete(s.keys, c.Delete)
+		}
+	}
+	done(Result{Status: 200, Body: s.codec.Encode(protocol.TxnAnswer{Revision: s.rev})})
+}
+
+func newScripted(t *testing.T) (*scripted, *Store) {
+	t.Helper()
+	codec, err := protocol.NewCodec()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scripted{t: t, codec: codec, now: time.Minute, keys: make(map[string][]byte)}
+	store := NewStore(s, s, codec, Limits{RPS: 50, WriteRPS: 10, TxnOps: 4, Timeout: time.Second}, func(fn func()) { fn() })
+	return s, store
+}
+
+func TestFinishedTasksOfALargeJob(t *testing.T) {
+	s, store := newScripted(t)
+	l := NewLedger(store, "n", Holder{"n", "x"}, 1, 5, func() { t.Fatal("lost") })
+	job := &protocol.Job{ID: "wk-1", Tasks: protocol.MaxTasks}
+	created := false
+	l.Create(job, 7, "nonce", func(r CreateResult) { created = r == Created })
+	if !created {
+		t.Fatal("not created")
+	}
+	written := 0
+	for i := 0; i < job.Tasks; i += 3 {
+		l.TaskDone("wk-1", i, func() { written++ })
+	}
+	began, before := s.now, s.total
+	for written == 0 || s.now-began < 3*time.Second {
+		s.now += 100 * time.Millisecond
+		l.Flush()
+		store.Poll()
+	}
+	if want := (job.Tasks + 2) / 3; written != want {
+		t.Fatalf("%d of %d finished tasks are written", written, want)
+	}
+	if limit := 10 + int(10*(s.now-began).Seconds()) + 4; s.total-before > limit {
+		t.Fatalf("%d changes in %v, the rate allows %d", s.total-before, s.now-began, limit)
+	}
+	for _, n := range s.sizes {
+		if n > 4 {
+			t.Fatalf("a transaction of %d changes", n)
+		}
+	}
+	for k, v := range s.keys {
+		if len(v) > 2048 {
+			t.Fatalf("%s holds %d bytes", k, len(v))
+		}
+	}
+
+	again := NewLedger(store, "n", Holder{"n", "y"}, 2, 9, func() { t.Fatal("lost") })
+	var got []RecoveredJob
+	again.Recover(func(jobs []RecoveredJob) { got = jobs })
+	if len(got) != 1 || got[0].AtMs != 7 {
+		t.Fatalf("recovered %d jobs", len(got))
+	}
+	for i, done := range got[0].Done {
+		if done != (i%3 == 0) {
+			t.Fatalf("task %d is recovered as done=%v", i, done)
+		}
+	}
+	ended := false
+	again.End(job, "", protocol.StatusDone, func() { ended = true })
+	for range 50 {
+		s.now += 100 * time.Millisecond
+		store.Poll()
+	}
+	if !ended || len(s.keys) != 1 || s.keys[JobKey("wk-1")] == nil {
+		t.Fatalf("after the end %d keys are left", len(s.keys))
+	}
+}
+
+// A queue that is full refuses at once instead of growing.
+func TestStoreBoundsItsQueue(t *testing.T) {
+	_, store := newScripted(t)
+	refused := 0
+	for range 2000 {
+		store.Txn(false, protocol.Txn{Then: []protocol.Change{{Delete: "k"}}}, func(r TxnResult) {
+			if r.Outcome == Refused {
+				refused++
+			}
+		})
+	}
+	if len(store.queue) > maxQueue || refused < 1000 {
+		t.Fatalf("%d requests wait, %d were refused", len(store.queue), refused)
+	}
+}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -90,6 +90,20 @@
 	held     map[int32][]taskRef
 	changed  []*ownedJob
 	nonces   uint64
+	bytes    int64 // what the unfinished jobs take, roughly
+}
+
+const (
+	jobBytes  = 4 << 10
+	taskBytes = 72
+)
+
+func jobSize(spec *protocol.Job) int64 { return jobBytes + taskBytes*int64(spec.Tasks) }
+
+// full tells whether one more job would take more than a quarter of this
+// process's memory; ledgers that are taken over need room too.
+func (o *owner) full(spec *protocol.Job) bool {
+	return o.bytes+jobSize(spec) > int64(o.c.cfg.Settings.Limits.MemMB*float64(1<<20)/4)
 }
 
 // registry maps names to dense indices, which are used again once released.
@@ -186,6 +200,7 @@
 	}
 	l.jobs[j.id] = j
 	o.jobs[j.id] = j
+	o.bytes += jobSize(spec)
 	o.touch(j)
 	return j
 }
@@ -201,6 +216,7 @@
 	for _, j := range l.jobs {
 		j.final = true
 		delete(o.jobs, j.id)
+		o.bytes -= jobSize(j.spec)
 		for _, fn := range j.onFinal {
 			fn("")
 		}
@@ -310,6 +326,7 @@
 	}
 	delete(j.ledger.jobs, j.id)
 	delete(o.jobs, j.id)
+	o.bytes -= jobSize(j.spec)
 }
 
 func (o *owner) touch(j *ownedJob) {
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -1053,3 +1053,24 @@
 	w.run(12 * time.Second)
 	want(t, "running", w.total(), 4)
 }
+
+// Work that is accepted has to be held in memory; what would not fit is
+// refused with a time to come back, and known jobs are still known.
+func TestSubmissionsAreBoundedByMemory(t *testing.T) {
+	w := newWorld(t, "a")
+	n := w.nodes["a"]
+	accepted := 0
+	for i := range 10 {
+		r := n.submit(form(fmt.Sprintf("wk-%d", i), 100_000))
+		if r.Status == 201 {
+			accepted++
+			continue
+		}
+		want(t, "refusal", fmt.Sprintf("%d %v", r.Status, r.RetryAfterS > 1), "503 true")
+	}
+	want(t, "accepted", accepted, 3)
+	want(t, "a known job", n.submit(form("wk-0", 100_000)).Status, 200)
+	code, _ := n.abort("wk-0")
+	want(t, "abort", code, 200)
+	want(t, "once there is room again", n.submit(form("wk-11", 100_000)).Status, 201)
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -208,6 +208,10 @@
 		u.lookUp(job.ID, 200, c.refusal(503, "not ready to accept", 1), reply)
 		return
 	}
+	if c.owner.full(job) {
+		u.lookUp(job.ID, 200, c.refusal(503, "too much unfinished work", 10), reply)
+		return
+	}
 	c.owner.create(job, c.env.Wall().UnixMilli(), func(r bookkeeping.CreateResult) {
 		switch r {
 		case bookkeeping.Created:
