--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -21,7 +21,7 @@
 	settleIn       = 6 * time.Second // a new leader looks before it rents
 	maxRentPerTick = 60
 	rentTries      = 20
-	waveShare      = 0.7 // of a deadline's slack that waiting in line may take
+	waveShare      = 0.25 // of a deadline's slack that waiting in line may take
 )
 
 // variant is what can be rented.
