Fill spot machines first, return idle ordinary ones sooner

Cause: when demand fell, idle spot machines went back as readily as ordinary ones, which cost four times as much.

--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -295,6 +295,24 @@
 	return other
 }
 
+// cheaperRoom tells whether spot machines that have a job's image have room
+// for all of its waiting tasks, so that an empty ordinary machine can go back.
+func (l *leader) cheaperRoom(j *leaderJob, m *machine, now time.Duration) bool {
+	n := j.waiting - j.offered
+	for _, o := range l.machines {
+		if o == m || !o.spot || !l.usable(o, now) || o.images[j.spec.Image] == nil || !allows(j.spec, o.typ, o.zone, o.spot) {
+			continue
+		}
+		for free := l.free(o); n > 0 && free.fits(j.spec); n-- {
+			free.take(j.spec)
+		}
+		if n <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // makeOffers offers a machine's free room to the owners of waiting tasks.
 func (l *leader) makeOffers(m *machine, a *answer, now time.Duration) {
 	if !l.usable(m, now) {
@@ -309,6 +327,7 @@
 	uc, ug, blocked := l.unseen(now)
 	wall := l.c.env.Wall().UnixMilli()
 	byLink := make(map[Link]*offer)
+	dear := !m.spot && m.empty()
 	refused := make(map[*leaderJob]bool)
 	for range l.c.tune.StartsPerReply {
 		var best *leaderJob
@@ -325,6 +344,10 @@
 				refused[j] = true
 				continue
 			}
+			if dear && j.prio < protocol.PriorityHigh && l.cheaperRoom(j, m, now) {
+				refused[j] = true
+				continue
+			}
 			if m.images[j.spec.Image] == nil && !l.worthFetching(j, m) {
 				refused[j] = true
 				continue
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -484,7 +484,11 @@
 	if m.sick || m.noticeAt > 0 {
 		return true
 	}
-	return !keep[m] && now-m.idleSince > r.l.c.tune.IdleReturn && now-m.rentedAt > minCharge
+	idle := r.l.c.tune.IdleReturn
+	if !m.spot {
+		idle /= 2 // it costs several times as much
+	}
+	return !keep[m] && now-m.idleSince > idle && now-m.rentedAt > minCharge
 }
 
 // empty tells whether nothing is on the machine or on its way there. An
