--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -285,7 +285,7 @@
 	}
 	other := false
 	for name, t := range l.c.fleet.types {
-		if name == typ || s.Cpus > t.CPUs || s.Gpus > t.GPUs || s.MemoryGb > t.MemoryGB || l.rent.exhausted(name) {
+		if name == typ || s.Cpus > t.CPUs || s.Gpus > t.GPUs || s.MemoryGb > t.MemoryGB {
 			continue
 		}
 		if s.AnyType || allows(s, name, s.Zone, s.Spot) {
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -72,23 +72,6 @@
 	return ok && now-at < keptFor
 }
 
-// exhausted tells whether nothing of a type is to be had at present.
-func (r *renting) exhausted(typ string) bool {
-	t := r.l.c.fleet.types[typ]
-	if t == nil {
-		return true
-	}
-	now := r.l.c.now()
-	for _, z := range t.Zones {
-		for _, spot := range []bool{true, false} {
-			if r.refused[variant{typ, z, spot}] <= now {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 func (r *renting) tick(now time.Duration) {
 	types := r.l.c.fleet.types
 	if len(types) == 0 {
