--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -295,6 +295,16 @@
 	return other
 }
 
+// othersWait tells whether a task waits that can run on no other type.
+func (l *leader) othersWait(typ string) bool {
+	for _, j := range l.jobs {
+		if !j.closed && j.spec != nil && j.waiting > 0 && l.rent.onlyType(j.spec) == typ {
+			return true
+		}
+	}
+	return false
+}
+
 // cheaperRoom tells whether spot machines that have a job's image have room
 // for all of its waiting tasks, so that an empty ordinary machine can go back.
 func (l *leader) cheaperRoom(j *leaderJob, m *machine, now time.Duration) bool {
@@ -340,7 +350,7 @@
 				refused[j] = true
 				continue
 			}
-			if !l.withinLimit(j, uc, ug, blocked) || l.keptForOthers(j.spec, m.typ) {
+			if !l.withinLimit(j, uc, ug, blocked) || (l.keptForOthers(j.spec, m.typ) && l.othersWait(m.typ)) {
 				refused[j] = true
 				continue
 			}
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -72,23 +72,32 @@
 	return ok && now-at < keptFor
 }
 
+// onlyType is the one type that a task fits on, or none if there are several.
+func (r *renting) onlyType(s *meshpb.JobDemand) string {
+	only := ""
+	for name, t := range r.l.c.fleet.types {
+		whole := room{t.CPUs, t.GPUs, t.MemoryGB}
+		if !whole.fits(s) || !(s.AnyType || allows(s, name, s.Zone, s.Spot)) {
+			continue
+		}
+		if only != "" {
+			return ""
+		}
+		only = name
+	}
+	return only
+}
+
 func (r *renting) tick(now time.Duration) {
 	types := r.l.c.fleet.types
 	if len(types) == 0 {
 		return
 	}
 	for _, j := range r.l.jobs {
-		if j.closed || j.spec == nil || j.waiting+j.located == 0 || len(types) < 2 {
+		if j.closed || j.spec == nil || j.waiting+j.located == 0 {
 			continue
 		}
-		only, n := "", 0
-		for name, t := range types {
-			if j.spec.Cpus <= t.CPUs && j.spec.Gpus <= t.GPUs && j.spec.MemoryGb <= t.MemoryGB && (j.spec.AnyType || allows(j.spec, name, j.spec.Zone, j.spec.Spot)) {
-				only = name
-				n++
-			}
-		}
-		if n == 1 {
+		if only := r.onlyType(j.spec); only != "" {
 			r.needs[only] = now
 		}
 	}
