--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -338,7 +338,6 @@
 	wall := l.c.env.Wall().UnixMilli()
 	byLink := make(map[Link]*offer)
 	dear := !m.spot && m.empty()
-	fetching := ""
 	refused := make(map[*leaderJob]bool)
 	for range l.c.tune.StartsPerReply {
 		var best *leaderJob
@@ -359,7 +358,7 @@
 				refused[j] = true
 				continue
 			}
-			if m.images[j.spec.Image] == nil && ((fetching != "" && fetching != j.spec.Image) || !l.worthFetching(j, m)) {
+			if m.images[j.spec.Image] == nil && !l.worthFetching(j, m) {
 				refused[j] = true
 				continue
 			}
@@ -370,9 +369,6 @@
 		if best == nil {
 			break
 		}
-		if m.images[best.spec.Image] == nil && fetchTime(best.spec, l.c.fleet.types[m.typ]) > bigFetch {
-			fetching = best.spec.Image // two in one answer would slow each other down
-		}
 		free.take(best.spec)
 		best.offered++
 		best.team.cpus += best.spec.Cpus
