--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -10,8 +10,10 @@
 	"github.com/cobaltvale/cobaltvale/internal/settings"
 )
 
-// tombstoneFor is how long the leader remembers a job that has ended.
-const tombstoneFor = 10 * time.Minute
+const (
+	tombstoneFor = 10 * time.Minute // how long the leader remembers a job that has ended
+	maxClearing  = 300              // stops and forgets in one answer
+)
 
 // taskKey names one copy of a task.
 type taskKey struct {
@@ -507,6 +509,9 @@
 	all := l.allJoined()
 	var cmds []protocol.Command
 	for i := range m.tasks {
+		if len(cmds) >= maxClearing {
+			break // an answer is limited in size; the rest follows with the next
+		}
 		t := &m.tasks[i]
 		order := m.orders[t.key]
 		over := (t.job == nil && all) || (t.job != nil && t.job.closed)
--- a/internal/transport/loopback_test.go
+++ b/internal/transport/loopback_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -124,6 +125,34 @@
 	}
 }
 
+// A request that does not become complete must not hold its connection.
+func TestServerEndsSlowRequests(t *testing.T) {
+	addr := freeAddr(t)
+	s := NewServer(ServerConfig{Addr: addr, MaxConns: 10, MaxInFlight: 10, IdleTimeout: time.Hour, ReadTimeout: 30 * time.Millisecond}, nil)
+	done := make(chan error, 1)
+	go func() { done <- s.Run() }()
+	t.Cleanup(func() {
+		if err := errors.Join(s.Stop(patience), <-done); err != nil {
+			t.Error(err)
+		}
+	})
+	<-s.ready
+	c, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Write([]byte("POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\nhalf")); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := c.Read(make([]byte, 1)); n != 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("read %d bytes, %v", n, err)
+	}
+}
+
 type meshLog struct {
 	up     chan *MeshLink
 	frames chan *meshpb.Frame
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -37,7 +37,8 @@
 type serverConn struct {
 	busy  bool // a request is with the handler
 	since time.Time
-	cont  bool // "100 Continue" was sent for the request that is arriving
+	part  time.Time // when the request that is arriving began; zero: none is
+	cont  bool      // "100 Continue" was sent for it
 	mu    sync.Mutex
 }
 
@@ -93,8 +94,8 @@
 	var stale []gnet.Conn
 	for c, sc := range s.conns {
 		sc.mu.Lock()
-		age := now.Sub(sc.since)
-		if !sc.busy && age > s.cfg.IdleTimeout {
+		slow := !sc.part.IsZero() && now.Sub(sc.part) > s.cfg.ReadTimeout
+		if !sc.busy && (slow || now.Sub(sc.since) > s.cfg.IdleTimeout) {
 			stale = append(stale, c)
 		}
 		sc.mu.Unlock()
@@ -104,7 +105,7 @@
 		// An error means that the connection is closed already.
 		_ = c.Close()
 	}
-	return 5 * time.Second, gnet.None
+	return min(5*time.Second, s.cfg.ReadTimeout), gnet.None
 }
 
 // OnTraffic implements gnet.EventHandler.
@@ -135,12 +136,14 @@
 				return gnet.Close
 			}
 		}
-		sc.mu.Lock()
-		late := time.Since(sc.since) > s.cfg.ReadTimeout && sc.cont
-		sc.mu.Unlock()
-		if late || len(buf) > 2*maxBody+maxHead {
+		if len(buf) > 2*maxBody+maxHead {
 			return gnet.Close
 		}
+		sc.mu.Lock()
+		if sc.part.IsZero() {
+			sc.part = time.Now()
+		}
+		sc.mu.Unlock()
 		return gnet.None
 	case err != nil:
 		// The stream cannot be read on from here, so the connection ends
@@ -158,7 +161,7 @@
 		return gnet.Close
 	}
 	sc.mu.Lock()
-	sc.busy, sc.cont, sc.since = true, false, time.Now()
+	sc.busy, sc.cont, sc.since, sc.part = true, false, time.Now(), time.Time{}
 	sc.mu.Unlock()
 	req := &Request{Method: m.first[0], Path: m.first[1], Body: m.body}
 	reply := s.replier(c, sc, m.close)
