Members keep what is cached where, for the next leader

Cause: a new leader knew of no cached image but those in use, and had images fetched that machines had already.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -414,6 +414,13 @@
 func (l *leader) note(m *machine, r *protocol.Report, now time.Duration) {
 	m.typ, m.zone, m.spot = r.Type, r.Zone, r.Spot
 	first := !m.reported
+	if first {
+		if typ := l.c.fleet.types[r.Type]; typ != nil {
+			for _, im := range l.c.stream.imagesOf(m.name) {
+				m.useImage(im.Name, im.Gb, typ.CacheGB, l.since)
+			}
+		}
+	}
 	m.session, m.seq, m.reported, m.heard = r.Session, r.Seq, true, now
 	l.reportAt = now
 	current := r.Token == l.token
@@ -483,10 +490,14 @@
 // passOn writes the report to every joined owner, before it is answered.
 func (l *leader) passOn(m *machine, r *protocol.Report, now time.Duration) {
 	links := make(map[Link]*meshpb.Report)
+	images := make([]*meshpb.Image, 0, len(m.images))
+	for name, im := range m.images {
+		images = append(images, &meshpb.Image{Name: name, Gb: im.gb})
+	}
 	for _, g := range l.ledgers {
 		if g.from != nil && links[g.link] == nil {
 			links[g.link] = &meshpb.Report{Machine: m.name, Session: r.Session, Seq: r.Seq, Current: r.Token == l.token,
-				ClockUs: now.Microseconds(), Type: m.typ, Zone: m.zone, Spot: m.spot}
+				ClockUs: now.Microseconds(), Type: m.typ, Zone: m.zone, Spot: m.spot, Images: images}
 		}
 	}
 	for i := range m.tasks {
--- a/internal/coordination/stream.go
+++ b/internal/coordination/stream.go
@@ -23,6 +23,8 @@
 type streamMachine struct {
 	zone string
 	at   int64 // on the leader's clock, of the last report on this stream
+	// images are what the leader last knew to be cached there.
+	images []*meshpb.Image
 }
 
 func (s *stream) reset() {
@@ -49,6 +51,16 @@
 	return ""
 }
 
+// imagesOf is what the last leader knew to be cached on a machine.
+func (s *stream) imagesOf(name string) []*meshpb.Image {
+	if i, ok := s.c.owner.machines.byName[name]; ok {
+		if h := s.heard[i]; h != nil {
+			return h.images
+		}
+	}
+	return nil
+}
+
 // join offers this process's ledgers to the member that leads now.
 func (s *stream) join() {
 	c := s.c
@@ -116,7 +128,7 @@
 		h = &streamMachine{}
 		s.heard[m] = h
 	}
-	h.zone, h.at = r.Zone, r.ClockUs
+	h.zone, h.at, h.images = r.Zone, r.ClockUs, r.Images
 	var orders []*meshpb.Order
 	s.c.owner.reported(m, r, &orders)
 	if len(orders) > 0 {
