--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -193,9 +193,6 @@
 	b := &meshpb.Beat{StateOk: c.session.leaseHolds(now)}
 	if c.leader != nil && c.session.mayAct(now) {
 		b.Token, b.ClockUs, b.LeaderOk = c.leader.token, now.Microseconds(), true
-		for class, e := range c.leader.est {
-			b.Estimates = append(b.Estimates, &meshpb.Estimate{Class: class, Ratio: e.ratio, Count: uint32(e.n)})
-		}
 	}
 	f := &meshpb.Frame{Body: &meshpb.Frame_Beat{Beat: b}}
 	for _, p := range c.peers {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -158,9 +158,6 @@
 	for name := range c.session.ledgers {
 		l.ledgers[name] = &leaderLedger{name: name, jobs: make(map[string]*leaderJob)}
 	}
-	for _, e := range c.stream.estimates {
-		l.est[e.Class] = &estimate{ratio: e.Ratio, n: int(e.Count)}
-	}
 	l.rent.init(l)
 	c.leader = l
 	c.fleet.nextAsk, c.fleet.nextList = min(c.fleet.nextAsk, now), now // prices and machines as they are now
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -15,7 +15,6 @@
 	keptFor        = 3 * time.Minute // how long a type stays reserved for the jobs that need it
 	sickErrors     = 3
 	estimateWeight = 0.2
-	maxClasses     = 200 // of which the leader learns run times
 )
 
 // room is what a machine has free.
@@ -217,9 +216,6 @@
 	}
 	ratio := math.Min(4, math.Max(0.25, took.Seconds()/s.EstimateS))
 	e := l.est[s.Class]
-	if e == nil && len(l.est) >= maxClasses {
-		return
-	}
 	if e == nil {
 		e = &estimate{ratio: ratio}
 		l.est[s.Class] = e
--- a/internal/coordination/stream.go
+++ b/internal/coordination/stream.go
@@ -18,8 +18,6 @@
 	token uint64
 	heard map[int32]*streamMachine
 	start map[string]int64 // per ledger, on the leader's clock
-	// estimates are what the leader has learned, in case this member is next.
-	estimates []*meshpb.Estimate
 }
 
 type streamMachine struct {
@@ -145,7 +143,6 @@
 	if p != s.from || b.Token != s.token {
 		return
 	}
-	s.estimates = b.Estimates
 	for _, l := range s.c.owner.ledgers {
 		if l.ready && s.start[l.name] <= 0 {
 			// The leader had not yet heard of its own election when the
