--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -209,7 +209,7 @@
 // DefaultTuning is what holds without a properties file.
 func DefaultTuning() Tuning {
 	return Tuning{
-		StateLease:     2 * time.Second,
+		StateLease:     3 * time.Second,
 		SilenceReports: 3,
 		OfferWait:      300 * time.Millisecond,
 		StartsPerReply: 64,
