--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -187,7 +187,7 @@
 	need := l.runTime(j.spec).Seconds()
 	if j.spec.DeadlineMs > 0 {
 		r.start = float64(j.spec.DeadlineMs)/1000 - need
-		r.late = r.urgent > 0 && r.start < float64(wallMs)/1000-2
+		r.late = r.start < float64(wallMs)/1000-2
 	} else {
 		r.start = float64(j.spec.SubmittedMs)/1000 + 3600
 	}
