--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -75,7 +75,6 @@
 	queue   []request
 	reads   bucket
 	writes  bucket
-	lastOK  time.Duration
 	failing bool
 	delayed []delayedCall
 }
@@ -93,22 +92,12 @@
 		caller: caller, clock: clock, codec: codec, limits: limits, later: later,
 		reads:  bucket{rate: limits.RPS, level: limits.RPS, at: now},
 		writes: bucket{rate: limits.WriteRPS, level: limits.WriteRPS, at: now},
-		lastOK: now,
 	}
 }
 
 // Failing tells whether the last answer was a refusal or none at all.
 func (s *Store) Failing() bool { return s.failing }
 
-// LastOK is when the service last served this process.
-func (s *Store) LastOK() time.Duration { return s.lastOK }
-
-// MaxOps is the number of changes that one transaction may hold.
-func (s *Store) MaxOps() int { return s.limits.TxnOps }
-
-// Codec returns the codec of the state service's messages.
-func (s *Store) Codec() *protocol.Codec { return s.codec }
-
 // Poll sends what the rates allow by now. It is called on every tick.
 func (s *Store) Poll() {
 	now := s.clock.Now()
@@ -148,14 +137,7 @@
 	s.reads.level--
 	s.writes.level -= float64(r.writes)
 	s.caller.Call(r.method, r.path, r.body, r.timeout, func(res Result) {
-		if res.Status == 0 || res.Status == 503 {
-			s.failing = true
-		} else {
-			s.failing = false
-			if res.Status != 429 {
-				s.lastOK = s.clock.Now()
-			}
-		}
+		s.failing = res.Status == 0 || res.Status == 503
 		r.done(res)
 	})
 }
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -92,8 +92,6 @@
 	askedUptime time.Duration
 	younger     bool // its process surely started after this one did
 	stateOK     bool
-	heard       time.Duration
-	downSince   time.Duration
 }
 
 type localFrame struct {
@@ -126,9 +124,8 @@
 		RPS: cfg.Settings.State.RPS * share, WriteRPS: cfg.Settings.State.WriteRPS * share,
 		TxnOps: cfg.Settings.State.TxnOps, Timeout: tune.RequestTimeout,
 	}, c.later)
-	now := env.Clock.Now()
 	for _, p := range cfg.Known {
-		c.peers[p.Member] = &peer{member: p.Member, downSince: now}
+		c.peers[p.Member] = &peer{member: p.Member}
 	}
 	c.self = &peer{member: cfg.Member, link: localLink{c}, stateOK: true}
 	c.owner.init(c)
@@ -213,7 +210,7 @@
 	if p.link != nil {
 		c.LinkDown(p.link)
 	}
-	p.link, p.heard, p.askedUptime, p.younger = l, c.now(), c.now(), false
+	p.link, p.askedUptime, p.younger = l, c.now(), false
 	l.Send(&meshpb.Frame{Body: &meshpb.Frame_UptimeAsk{UptimeAsk: &meshpb.UptimeAsk{}}})
 	c.byLink[l] = p
 	c.stream.join()
@@ -226,7 +223,7 @@
 		return
 	}
 	delete(c.byLink, l)
-	p.link, p.downSince, p.stateOK, p.younger = nil, c.now(), false, false
+	p.link, p.stateOK, p.younger = nil, false, false
 	if c.leader != nil {
 		c.leader.peerDown(p)
 	}
@@ -244,7 +241,6 @@
 }
 
 func (c *Core) onFrame(p *peer, f *meshpb.Frame) {
-	p.heard = c.now()
 	switch b := f.Body.(type) {
 	case *meshpb.Frame_Beat:
 		p.stateOK = b.Beat.StateOk
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -35,8 +35,7 @@
 
 type listedMachine struct {
 	protocol.ListedMachine
-	seenAt time.Duration
-	since  time.Duration // first listed as running
+	since time.Duration // first listed as running
 }
 
 func (f *fleet) init(c *Core) {
@@ -121,7 +120,7 @@
 	f.listedAt = began
 	fresh := make(map[string]listedMachine, len(got))
 	for _, g := range got {
-		e := listedMachine{ListedMachine: g, seenAt: now, since: now}
+		e := listedMachine{ListedMachine: g, since: now}
 		if old, ok := f.listed[g.ID]; ok && old.Status == "running" {
 			e.since = old.since
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -219,26 +219,22 @@
 	}
 }
 
-// LoadTuning reads a properties file over the defaults. A key that is not
-// known is an error, since it is most likely a slip of the pen.
+// LoadTuning reads a properties file over the defaults.
 func LoadTuning(path string) (Tuning, error) {
-	p, err := properties.LoadFile(path, properties.UTF8)
+	b, err := os.ReadFile(path)
 	if err != nil {
 		return Tuning{}, fmt.Errorf("reading properties: %w", err)
 	}
-	return tuningFrom(p)
+	return ParseTuning(string(b))
 }
 
-// ParseTuning is LoadTuning on text.
+// ParseTuning reads properties over the defaults. A key that is not known is
+// an error, since it is most likely a slip of the pen.
 func ParseTuning(text string) (Tuning, error) {
 	p, err := properties.LoadString(text)
 	if err != nil {
 		return Tuning{}, fmt.Errorf("reading properties: %w", err)
 	}
-	return tuningFrom(p)
-}
-
-func tuningFrom(p *properties.Properties) (Tuning, error) {
 	t := DefaultTuning()
 	durations := map[string]struct {
 		to       *time.Duration
