--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -15,6 +15,7 @@
 	maxHead     = 8 << 10
 	maxBody     = 64 << 10
 	maxResponse = 4 << 20
+	maxSkip     = 4 << 20 // of a body above the limit that is read and thrown away
 )
 
 var (
@@ -25,13 +26,12 @@
 
 // message is a parsed request or response.
 type message struct {
-	first    [3]string // the words of the start line
-	body     []byte
-	close    bool
-	retry    string
-	size     int // bytes taken from the buffer
-	expect   bool
-	tooLarge bool
+	first  [3]string // the words of the start line
+	body   []byte
+	close  bool
+	retry  string
+	size   int // bytes that it takes; known also of a body above the limit
+	expect bool
 }
 
 // parseMessage reads one HTTP/1.1 message from the start of buf. Bodies are
@@ -70,7 +70,7 @@
 		return m, nil
 	}
 	if length > bodyLimit {
-		m.tooLarge = true
+		m.size = used + length
 		return m, errTooLarge
 	}
 	if len(rest) < length {
--- a/internal/transport/loopback_test.go
+++ b/internal/transport/loopback_test.go
@@ -110,7 +110,10 @@
 	if got := talk("nonsense\r\n\r\n"); got != "HTTP/1.1 400 Bad Request" {
 		t.Fatal(got)
 	}
-	if got := talk("POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n"); got != "HTTP/1.1 400 Bad Request" {
+	if got := talk("POST / HTTP/1.1\r\nContent-Length: 3000000\r\n\r\n" + strings.Repeat("x", 3_000_000)); got != "HTTP/1.1 400 Bad Request" {
+		t.Fatal(got)
+	}
+	if got := talk("POST / HTTP/1.1\r\nContent-Length: 70000\r\nExpect: 100-continue\r\n\r\n"); got != "HTTP/1.1 400 Bad Request" {
 		t.Fatal(got)
 	}
 	first := make(chan string, 1)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -39,6 +39,7 @@
 	since time.Time
 	part  time.Time // when the request that is arriving began; zero: none is
 	cont  bool      // "100 Continue" was sent for it
+	skip  int       // bytes of a request that is refused, still to come
 	mu    sync.Mutex
 }
 
@@ -123,12 +124,17 @@
 		}
 		return gnet.None
 	}
+	if sc.skip > 0 {
+		return s.refuse(c, sc, 0)
+	}
 	buf, err := c.Peek(-1)
 	if err != nil || len(buf) == 0 {
 		return gnet.None
 	}
 	m, err := parseMessage(buf, false, maxBody)
 	switch {
+	case errors.Is(err, errTooLarge) && m.size > 0 && m.size <= maxSkip && !m.expect:
+		return s.refuse(c, sc, m.size)
 	case errors.Is(err, errIncomplete):
 		if m.expect && !sc.cont {
 			sc.cont = true
@@ -146,16 +152,7 @@
 		sc.mu.Unlock()
 		return gnet.None
 	case err != nil:
-		// The stream cannot be read on from here, so the connection ends
-		// with the answer. What is buffered is dropped first: closing with
-		// unread bytes would reset the connection and lose the answer.
-		if _, derr := c.Discard(len(buf)); derr != nil {
-			return gnet.Close
-		}
-		if _, werr := c.Write(appendResponse(nil, &Response{Status: 400, Close: true})); werr != nil {
-			return gnet.Close
-		}
-		return gnet.Close
+		return s.refuse(c, sc, len(buf))
 	}
 	if _, err := c.Discard(m.size); err != nil {
 		return gnet.Close
@@ -173,6 +170,29 @@
 	return gnet.None
 }
 
+// refuse answers 400 and ends the connection, since the stream cannot be read
+// on from here. What the peer has announced is read first: closing with unread
+// bytes would reset the connection and lose the answer.
+func (s *Server) refuse(c gnet.Conn, sc *serverConn, size int) gnet.Action {
+	sc.skip += size
+	n, err := c.Discard(min(sc.skip, c.InboundBuffered()))
+	if err != nil {
+		return gnet.Close
+	}
+	if sc.skip -= n; sc.skip > 0 {
+		sc.mu.Lock()
+		if sc.part.IsZero() {
+			sc.part = time.Now()
+		}
+		sc.mu.Unlock()
+		return gnet.None
+	}
+	if _, err := c.Write(appendResponse(nil, &Response{Status: 400, Close: true})); err != nil {
+		return gnet.Close
+	}
+	return gnet.Close
+}
+
 func (s *Server) replier(c gnet.Conn, sc *serverConn, closing bool) func(Response) {
 	var once sync.Once
 	return func(r Response) {
