--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -279,10 +279,6 @@
 		c.users.onAsk(p, b.Ask)
 	case *meshpb.Frame_Answer:
 		c.users.onAnswer(p, b.Answer)
-	case *meshpb.Frame_Relay:
-		c.users.onRelay(p, b.Relay)
-	case *meshpb.Frame_RelayAnswer:
-		c.users.onRelayAnswer(p, b.RelayAnswer)
 	case *meshpb.Frame_Handover:
 		c.session.onHandover(p, b.Handover)
 	case *meshpb.Frame_UptimeAsk:
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -30,7 +30,6 @@
 	finals map[string]ending
 	order  []string // of finals, the oldest first
 	asks   map[uint64]*ask
-	relays map[uint64]*relay
 	askSeq uint64
 	timers []timer
 	bad    time.Duration // since when this node could not act
@@ -43,13 +42,6 @@
 	done func(a *meshpb.Answer)
 }
 
-// relay is a request that another member answers in this one's place.
-type relay struct {
-	to    *peer
-	at    time.Duration
-	reply func(Response)
-}
-
 type timer struct {
 	at time.Duration
 	fn func()
@@ -59,7 +51,6 @@
 	u.c = c
 	u.finals = make(map[string]ending)
 	u.asks = make(map[uint64]*ask)
-	u.relays = make(map[uint64]*relay)
 }
 
 func (u *users) remember(id, status string, tasks int) {
@@ -81,11 +72,6 @@
 			a.done(nil)
 		}
 	}
-	for id, r := range u.relays {
-		if now-r.at > submitTimeout {
-			u.endRelay(id, u.c.refusal(503, "no answer in time", 1))
-		}
-	}
 	kept := u.timers[:0]
 	var due []func()
 	for _, t := range u.timers {
@@ -130,17 +116,8 @@
 	return c.status(code, id, e.status, done, 0)
 }
 
-// HandleHTTP takes a request and calls reply once, now or later. A user's
-// request that this node cannot answer for want of the state service goes to
-// a member that is served.
+// HandleHTTP takes a request and calls reply once, now or later.
 func (c *Core) HandleHTTP(req *Request, reply func(Response)) {
-	if strings.HasPrefix(req.Path, "/submissions") && c.users.relay(req, reply) {
-		return
-	}
-	c.handle(req, reply)
-}
-
-func (c *Core) handle(req *Request, reply func(Response)) {
 	path, _, _ := strings.Cut(req.Path, "?")
 	need := func(method string) bool {
 		if req.Method != method {
@@ -457,52 +434,7 @@
 	}
 }
 
-// relay passes a request on if this node is refused by the state service, or
-// has no ledger, while another member is better off.
-func (u *users) relay(req *Request, reply func(Response)) bool {
-	c := u.c
-	l := c.owner.ledgers[c.cfg.Member]
-	if (l != nil && l.ready && c.session.leaseHolds(c.now()) && !c.store.Failing()) || len(u.relays) >= maxAsks {
-		return false
-	}
-	for _, p := range c.peers {
-		if p.link == nil || !p.stateOK {
-			continue
-		}
-		u.askSeq++
-		u.relays[u.askSeq] = &relay{to: p, at: c.now(), reply: reply}
-		p.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Relay{Relay: &meshpb.Relay{Id: u.askSeq, Method: req.Method, Path: req.Path, Body: req.Body}}})
-		return true
-	}
-	return false
-}
-
-func (u *users) onRelay(p *peer, f *meshpb.Relay) {
-	link := p.link
-	u.c.handle(&Request{Method: f.Method, Path: f.Path, Body: f.Body}, func(r Response) {
-		link.Send(&meshpb.Frame{Body: &meshpb.Frame_RelayAnswer{RelayAnswer: &meshpb.RelayAnswer{
-			Id: f.Id, Status: uint32(r.Status), Body: r.Body, RetryS: uint32(r.RetryAfterS)}}})
-	})
-}
-
-func (u *users) onRelayAnswer(p *peer, f *meshpb.RelayAnswer) {
-	if r := u.relays[f.Id]; r != nil && r.to == p {
-		u.endRelay(f.Id, Response{Status: int(f.Status), Body: f.Body, RetryAfterS: int(f.RetryS)})
-	}
-}
-
-func (u *users) endRelay(id uint64, r Response) {
-	reply := u.relays[id].reply
-	delete(u.relays, id)
-	reply(r)
-}
-
 func (u *users) peerDown(p *peer) {
-	for id, r := range u.relays {
-		if r.to == p {
-			u.endRelay(id, u.c.refusal(503, "the member that would answer is gone", 1))
-		}
-	}
 	for id, a := range u.asks {
 		if a.to == p {
 			delete(u.asks, id)
