Teams give back what they borrowed when another lacks its guarantee

Cause: a team's guarantee was met only as others' tasks ended. Now tasks of teams beyond theirs are stopped, but only while no machine is to be had.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -96,6 +96,8 @@
 	cfg  *settings.Team
 	cpus float64
 	gpus float64
+	// stopping is the part of cpus that was told to stop.
+	stopping float64
 }
 
 // leader exists while this process holds the leader key.
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -399,16 +399,28 @@
 		l.drain(m, a, now)
 		return
 	}
-	short := l.urgentShort(m, now)
-	if short <= 0 {
+	if short := l.urgentShort(m, now); short > 0 {
+		l.makeRoom(m, a, short, now, func(t *placed) bool { return t.job.prio < protocol.PriorityHigh })
 		return
 	}
-	limit := l.victimLimit(short, now)
+	if short := l.guaranteeShort(m, now); short > 0 {
+		// A team gives back what it has borrowed, and no more.
+		l.makeRoom(m, a, short, now, func(t *placed) bool {
+			team := t.job.team
+			return team != nil && team.cpus-team.stopping-t.cpus >= team.cfg.CPUs
+		})
+	}
+}
+
+// makeRoom stops tasks on a reporting machine, those first that lose least,
+// and none that costs more than what has to be stopped anywhere.
+func (l *leader) makeRoom(m *machine, a *answer, short float64, now time.Duration, may func(*placed) bool) {
+	limit := l.victimLimit(short, now, may)
 	for short > 0 {
 		var victim *placed
 		cost := limit
 		for i := range m.tasks {
-			if t := &m.tasks[i]; l.stoppable(m, t, now) {
+			if t := &m.tasks[i]; l.stoppable(m, t, now) && may(t) {
 				if c := l.stopCost(m, t, now); c <= cost {
 					victim, cost = t, c
 				}
@@ -418,14 +430,17 @@
 			return
 		}
 		victim.stopped = true
+		if victim.job.team != nil {
+			victim.job.team.stopping += victim.cpus
+		}
 		short -= victim.cpus
 		l.stopTask(m, a, victim)
 	}
 }
 
-// stoppable tells whether a task may make room for urgent ones.
+// stoppable tells whether a task can be stopped to make room.
 func (l *leader) stoppable(m *machine, t *placed, now time.Duration) bool {
-	if t.stopped || t.job == nil || t.job.closed || t.job.spec == nil || t.job.prio >= protocol.PriorityHigh || m.orders[t.key] != nil {
+	if t.stopped || t.job == nil || t.job.closed || t.job.spec == nil || m.orders[t.key] != nil {
 		return false
 	}
 	return t.state == protocol.TaskFetching || (t.state == protocol.TaskRunning && !l.endsSoon(t, now))
@@ -447,7 +462,7 @@
 
 // victimLimit is what the dearest task costs that has to be stopped anywhere
 // to make up for a shortage, if the cheapest are taken.
-func (l *leader) victimLimit(short float64, now time.Duration) time.Duration {
+func (l *leader) victimLimit(short float64, now time.Duration, may func(*placed) bool) time.Duration {
 	type victim struct {
 		cost time.Duration
 		cpus float64
@@ -458,7 +473,7 @@
 			continue
 		}
 		for i := range m.tasks {
-			if t := &m.tasks[i]; l.stoppable(m, t, now) {
+			if t := &m.tasks[i]; l.stoppable(m, t, now) && may(t) {
 				all = append(all, victim{l.stopCost(m, t, now), t.cpus})
 			}
 		}
@@ -547,6 +562,52 @@
 	return left < almostDone && left > -almostDone/2
 }
 
+// guaranteeShort is how many CPUs teams lack that have work waiting which this
+// machine could take, use less than their guarantee, and can get no more
+// machines.
+func (l *leader) guaranteeShort(m *machine, now time.Duration) float64 {
+	need := make(map[*teamState]float64)
+	for _, j := range l.jobs {
+		if !j.closed && j.waiting > j.offered && j.team != nil && j.ledger.from != nil && j.team.cfg.CPUs > 0 &&
+			l.couldTake(m, j) && !l.rent.available(j.spec, now) {
+			need[j.team] += float64(j.waiting-j.offered) * j.spec.Cpus
+		}
+	}
+	if len(need) == 0 {
+		return 0
+	}
+	l.countTeams()
+	short := 0.0
+	for t, n := range need {
+		short += math.Max(0, math.Min(n, t.cfg.CPUs-t.cpus))
+	}
+	for _, t := range l.teams {
+		t.stopping = 0
+	}
+	for _, o := range l.machines {
+		if short <= 0 {
+			return 0
+		}
+		if !l.usable(o, now) {
+			continue
+		}
+		short -= math.Max(0, l.free(o).cpus)
+		for i := range o.tasks {
+			t := &o.tasks[i]
+			if t.state == protocol.TaskExited {
+				continue
+			}
+			if t.stopped && t.job != nil && t.job.team != nil {
+				t.job.team.stopping += t.cpus
+			}
+			if t.stopped || l.endsSoon(t, now) {
+				short -= t.cpus
+			}
+		}
+	}
+	return short
+}
+
 // couldTake tells whether an empty machine would be offered to a job.
 func (l *leader) couldTake(m *machine, j *leaderJob) bool {
 	t := l.c.fleet.types[m.typ]
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -299,6 +299,20 @@
 	return best, found
 }
 
+// available tells whether a machine for a task can be had or is to come.
+func (r *renting) available(s *meshpb.JobDemand, now time.Duration) bool {
+	if _, ok := r.best(s, now, nil); ok || now-r.l.since < settleIn {
+		return true
+	}
+	for _, m := range r.l.machines {
+		t := r.l.c.fleet.types[m.typ]
+		if t != nil && !m.gone && !m.leaving && !m.reported && now-m.rentedAt < r.bootLimit(t) && allows(s, m.typ, m.zone, m.spot) {
+			return true
+		}
+	}
+	return false
+}
+
 // resend sends the requests that wait for an answer.
 func (r *renting) resend(now time.Duration) {
 	for _, q := range r.requests {
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -1074,3 +1074,29 @@
 	want(t, "abort", code, 200)
 	want(t, "once there is room again", n.submit(form("wk-11", 100_000)).Status, 201)
 }
+
+// A team gives back what it has borrowed beyond its guarantee when another
+// lacks part of its own and no machine can be had, but nothing more.
+func TestBorrowedRoomIsGivenBack(t *testing.T) {
+	w := newWorld(t, "a")
+	w.cloud.refuse = true
+	w.worker("vm-1", "z1")
+	w.worker("vm-2", "z1")
+	w.run(15 * time.Second)
+	n := w.nodes["a"]
+	want(t, "submit", n.submit(form("wk-1", 20).with("crew", "red")).Status, 201)
+	w.run(10 * time.Second)
+	want(t, "red running", n.core.owner.jobs["wk-1"].nRun, 8)
+	want(t, "submit", n.submit(form("wk-2", 20)).Status, 201)
+	w.run(20 * time.Second)
+	want(t, "running of each", fmt.Sprint(n.core.owner.jobs["wk-1"].nRun, n.core.owner.jobs["wk-2"].nRun), "4 4")
+	starts := 0
+	for _, k := range w.workers {
+		starts += k.starts
+	}
+	w.run(20 * time.Second)
+	for _, k := range w.workers {
+		starts -= k.starts
+	}
+	want(t, "starts once each has its guarantee", starts, 0)
+}
