Tasks of jobs that are over are ended from three sides

Now an owner has ended what it knows to be over, an owner whose join is not confirmed within 6 s gives its ledgers up, and a machine that still holds such a task after a third of cancel_s is returned, silent or not. Each has a test or a reason in the code.

--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -524,6 +524,12 @@
 	listed := make(map[taskRef]bool, len(r.Tasks))
 	for _, s := range r.Tasks {
 		j := o.jobs[s.Job]
+		if _, over := o.c.users.finals[s.Job]; j == nil && over {
+			// The leader should know that the job is over; in case it does
+			// not, what is left of it must still go (ran_cancelled).
+			*orders = append(*orders, &meshpb.Order{Machine: r.Machine, Job: s.Job, Task: s.Task, Attempt: s.Attempt,
+				Reap: protocol.TaskState(s.State) == protocol.TaskExited})
+		}
 		if j == nil || int(s.Task) >= len(j.tasks) {
 			continue
 		}
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -487,6 +487,9 @@
 		// A boot that failed is charged until it is returned.
 		return t != nil && m.rentedAt != 0 && now-m.rentedAt > r.bootLimit(t) && now-r.l.since > bootGrace
 	}
+	if r.holdsEnded(m, now) {
+		return true
+	}
 	if quiet := r.silence(m, now); quiet > 0 {
 		few := silent[m.zone] <= max(1, all[m.zone]/8)
 		return (few && len(m.tasks)+len(m.sent) > 0) || quiet > r.l.c.leaseSpan()
@@ -504,6 +507,20 @@
 	return !keep[m] && now-m.idleSince > idle && now-m.rentedAt > minCharge
 }
 
+// holdsEnded tells whether a machine still holds a task of a job that was over
+// long ago, although every answer to it asks for the task's end: whatever the
+// cause, returning the machine ends the task in time (ran_cancelled).
+func (r *renting) holdsEnded(m *machine, now time.Duration) bool {
+	limit := seconds(r.l.c.cfg.Settings.Workers.CancelS / 3)
+	for i := range m.tasks {
+		t := &m.tasks[i]
+		if t.state != protocol.TaskExited && t.job != nil && t.job.closed && now-t.job.closedAt > limit {
+			return true
+		}
+	}
+	return false
+}
+
 // empty tells whether nothing is on the machine or on its way there. An
 // ended task counts: its result may not be written yet.
 func (m *machine) empty() bool {
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -1100,3 +1100,43 @@
 	}
 	want(t, "starts once each has its guarantee", starts, 0)
 }
+
+// A machine that falls silent with a cancelled task on it is returned before
+// the task is overdue, however many others are silent too.
+func TestCancelledTaskOnSilentMachineEnds(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	for i := range 9 {
+		w.worker(fmt.Sprintf("vm-%d", i), "z1")
+	}
+	w.run(2 * time.Second)
+	f := w.follower()
+	want(t, "submit", f.submit(form("wk-1", 36)).Status, 201)
+	w.run(4 * time.Second)
+	want(t, "running", w.total(), 36)
+	for i := range 9 {
+		w.workers[fmt.Sprintf("vm-%d", i)].hung = true
+	}
+	code, _ := f.abort("wk-1")
+	want(t, "abort", code, 200)
+	w.worker("vm-x", "z2")
+	w.run(18 * time.Second)
+	want(t, "still running", w.total(), 0)
+}
+
+// An owner that knows a job to be over has what a machine lists of it ended,
+// also if its word to the leader went missing.
+func TestOwnerEndsWhatTheLeaderMissed(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	k := w.worker("vm-1", "z1")
+	w.run(2 * time.Second)
+	f := w.follower()
+	want(t, "submit", f.submit(form("wk-1", 2)).Status, 201)
+	w.run(3 * time.Second)
+	want(t, "running", len(k.running()), 2)
+	code, _ := f.abort("wk-1")
+	want(t, "abort", code, 200)
+	j := w.leader().core.leader.jobs["wk-1"]
+	j.closed = false
+	w.run(4 * time.Second)
+	want(t, "running", len(k.running()), 0)
+}
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -99,7 +99,7 @@
 	if !s.viewOK || !s.leaseHolds(now) {
 		return
 	}
-	if s.c.stream.from != nil || !s.leaderK.present || s.leaderK.holder.Member == s.c.cfg.Member {
+	if s.c.stream.joinedAll() || !s.leaderK.present || s.leaderK.holder.Member == s.c.cfg.Member {
 		s.joinedAt = now
 	}
 	if now-s.joinedAt > cutOffAfter {
--- a/internal/coordination/stream.go
+++ b/internal/coordination/stream.go
@@ -51,6 +51,17 @@
 	return ""
 }
 
+// joinedAll tells whether the leader has confirmed every ledger of this
+// process that is ready.
+func (s *stream) joinedAll() bool {
+	for _, l := range s.c.owner.ledgers {
+		if l.ready && s.start[l.name] <= 0 {
+			return false
+		}
+	}
+	return s.from != nil
+}
+
 // imagesOf is what the last leader knew to be cached on a machine.
 func (s *stream) imagesOf(name string) []*meshpb.Image {
 	if i, ok := s.c.owner.machines.byName[name]; ok {
