A ledger taken up again under the same leader joins again

Ruled out: lost stop commands (they reach a machine within 3 s) and silent machines. The test fails without the fix.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -170,6 +170,7 @@
 	c.session.tick(now)
 	if now-c.lastBeat >= beatEvery {
 		c.lastBeat = now
+		c.stream.join() // whatever event was missed, the ledgers join
 		c.beat(now)
 	}
 	if now-c.lastFlush >= bookkeeping.FlushEvery {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -213,6 +213,8 @@
 	}
 	l.book.Close()
 	delete(o.ledgers, name)
+	// Taken up again under the same leader, it has to join again.
+	delete(o.c.stream.start, name)
 	for _, j := range l.jobs {
 		j.final = true
 		delete(o.jobs, j.id)
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -1140,3 +1140,27 @@
 	w.run(4 * time.Second)
 	want(t, "running", len(k.running()), 0)
 }
+
+// A ledger that is taken up again under the same leader joins again: else its
+// jobs would wait for ever, and their ends would not reach the leader.
+func TestLedgerTakenUpAgainJoinsAgain(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	k := w.worker("vm-1", "z1")
+	w.run(2 * time.Second)
+	f := w.follower()
+	want(t, "submit", f.submit(form("wk-1", 2)).Status, 201)
+	w.run(3 * time.Second)
+	want(t, "running", len(k.running()), 2)
+	f.core.session.giveUp(f.name)
+	w.run(8 * time.Second)
+	if l := f.core.owner.ledgers[f.name]; l == nil || !l.joined {
+		t.Fatal("the ledger has not joined")
+	}
+	code, status := f.abort("wk-1")
+	want(t, "abort", fmt.Sprintf("%d %s", code, status), "200 withdrawn")
+	w.run(4 * time.Second)
+	want(t, "running", len(k.running()), 0)
+	want(t, "submit", f.submit(form("wk-2", 2)).Status, 201)
+	w.run(4 * time.Second)
+	want(t, "running", len(k.running()), 2)
+}
--- a/internal/coordination/stream.go
+++ b/internal/coordination/stream.go
@@ -55,7 +55,7 @@
 // process that is ready.
 func (s *stream) joinedAll() bool {
 	for _, l := range s.c.owner.ledgers {
-		if l.ready && s.start[l.name] <= 0 {
+		if l.ready && (!l.joined || s.start[l.name] <= 0) {
 			return false
 		}
 	}
@@ -155,7 +155,7 @@
 		return
 	}
 	for _, l := range s.c.owner.ledgers {
-		if l.ready && s.start[l.name] <= 0 {
+		if l.ready && (!l.joined || s.start[l.name] <= 0) {
 			// The leader had not yet heard of its own election when the
 			// first Join came, or this one crosses its answer: joining
 			// twice only starts the clock later.
