--- a/cmd/cobaltvale/main.go
+++ b/cmd/cobaltvale/main.go
@@ -66,6 +66,8 @@
 	}
 	// Two thirds of the limit are the heap's; the rest is left to stacks,
 	// the runtime and the program itself.
+	// The heap stays far below that, so collections can be rare.
+	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(file.Settings.Limits.MemMB * float64(1<<20) * 2 / 3))
 	if err := serve(file, tune, log, rand.Uint64(), time.Now()); err != nil {
 		log.Error().Err(err).Msg("ending")
--- a/cmd/cobaltvale/serve.go
+++ b/cmd/cobaltvale/serve.go
@@ -19,6 +19,7 @@
 	cloudConns  = 3
 	clientQueue = 1024
 	meshSilence = 4 * time.Second
+	paceEvery   = 40 * time.Millisecond
 )
 
 // steadyClock counts from the start of the process.
@@ -50,8 +51,12 @@
 	m.queue.Post(func() { m.core.LinkUp(l, member) })
 }
 
-func (m meshEvents) MeshFrame(l *transport.MeshLink, f *meshpb.Frame) {
-	m.queue.Post(func() { m.core.LinkFrame(l, f) })
+func (m meshEvents) MeshFrames(l *transport.MeshLink, frames []*meshpb.Frame) {
+	m.queue.Post(func() {
+		for _, f := range frames {
+			m.core.LinkFrame(l, f)
+		}
+	})
 }
 
 func (m meshEvents) MeshDown(l *transport.MeshLink) {
@@ -60,17 +65,14 @@
 
 // serve wires the layers together and runs until one of them ends.
 func serve(file *settings.File, tune settings.Tuning, log zerolog.Logger, incarnation uint64, start time.Time) error {
-	dialer, err := transport.NewDialer()
-	if err != nil {
-		return err
-	}
+	loop := transport.NewLoop(paceEvery)
 	queue := coordination.NewQueue()
 	core, err := coordination.New(file, tune, coordination.Env{
 		Clock: steadyClock{start},
 		Wall:  time.Now,
 		Rand:  rand.New(rand.NewPCG(rand.Uint64(), incarnation)),
-		State: caller{transport.NewHTTPClient(dialer, file.External.State, stateConns, clientQueue), queue},
-		Cloud: caller{transport.NewHTTPClient(dialer, file.External.Cloud, cloudConns, clientQueue), queue},
+		State: caller{transport.NewHTTPClient(loop, file.External.State, stateConns, clientQueue), queue},
+		Cloud: caller{transport.NewHTTPClient(loop, file.External.Cloud, cloudConns, clientQueue), queue},
 		Log:   log,
 	}, incarnation)
 	if err != nil {
@@ -81,7 +83,7 @@
 		peers = append(peers, transport.MeshPeer{Member: p.Member, Addr: p.Address})
 	}
 	mesh := transport.NewMesh(transport.MeshConfig{Self: file.Member, Addr: file.MeshAddr,
-		Peers: peers, Silence: meshSilence}, dialer, meshEvents{core, queue})
+		Peers: peers, Silence: meshSilence}, loop, meshEvents{core, queue})
 	sockets := file.Settings.Limits.Sockets
 	server := transport.NewServer(transport.ServerConfig{
 		Addr:        file.APIAddr,
@@ -91,21 +93,20 @@
 		ReadTimeout: 15 * time.Second,
 	}, func(req *transport.Request, reply func(transport.Response)) {
 		queue.Post(func() {
-			core.HandleHTTP(&coordination.Request{Method: req.Method, Path: req.Path, Body: req.Body},
+			core.HandleHTTP(&coordination.Request{Method: req.Method, Path: req.Path, Body: req.Body, Conn: req.Conn},
 				func(r coordination.Response) {
 					reply(transport.Response{Status: r.Status, Body: r.Body, RetryAfterS: r.RetryAfterS})
 				})
 		})
 	})
-	ended := make(chan error, 2)
-	go func() { ended <- mesh.Run() }()
-	go func() { ended <- server.Run() }()
+	mesh.Start()
+	var ended error
 	go func() {
-		err := <-ended
+		ended = loop.Run(server, mesh)
 		queue.Stop()
-		ended <- err
 	}()
 	log.Info().Str("member", file.Member).Msg("started")
-	queue.Run(core)
-	return <-ended
+	queue.Run(core, loop.Rest)
+	mesh.Stop()
+	return ended
 }
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -20,6 +20,7 @@
 // Link is an ordered stream of frames to another member, until it is down.
 type Link interface {
 	Send(*meshpb.Frame)
+	Flush() // what was sent goes out at the latest now
 	Close()
 }
 
@@ -37,6 +38,7 @@
 type Request struct {
 	Method, Path string
 	Body         []byte
+	Conn         uint64 // the connection that it came on; 0: not known
 }
 
 // Response is its answer.
@@ -88,12 +90,40 @@
 // link that loops back.
 type peer struct {
 	member      string
-	link        Link // nil while down
+	index       int             // dense; this member's own is 0
+	link        Link            // nil while down
+	reports     *meshpb.Reports // gathered for it, see flush
 	askedUptime time.Duration
 	younger     bool // its process surely started after this one did
 	stateOK     bool
 }
 
+// send sends a frame after all reports that have gathered.
+func (p *peer) send(f *meshpb.Frame) {
+	p.flush()
+	if p.link != nil {
+		p.link.Send(f)
+	}
+}
+
+// gathered returns the reports that go out together, to add one to. Their
+// clock is that of the last.
+func (p *peer) gathered(now time.Duration) *meshpb.Reports {
+	if p.reports == nil {
+		p.reports = &meshpb.Reports{}
+	}
+	p.reports.ClockUs = now.Microseconds()
+	return p.reports
+}
+
+func (p *peer) flush() {
+	r := p.reports
+	p.reports = nil
+	if r != nil && p.link != nil {
+		p.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Reports{Reports: r}})
+	}
+}
+
 type localFrame struct {
 	f *meshpb.Frame
 }
@@ -104,6 +134,8 @@
 
 func (l localLink) Send(f *meshpb.Frame) { l.c.inbox = append(l.c.inbox, localFrame{f}) }
 
+func (localLink) Flush() {}
+
 func (localLink) Close() {}
 
 // New builds a core. incarnation tells this process from earlier ones of the
@@ -124,8 +156,8 @@
 		RPS: cfg.Settings.State.RPS * share, WriteRPS: cfg.Settings.State.WriteRPS * share,
 		TxnOps: cfg.Settings.State.TxnOps, Timeout: tune.RequestTimeout,
 	}, c.later)
-	for _, p := range cfg.Known {
-		c.peers[p.Member] = &peer{member: p.Member}
+	for i, p := range cfg.Known {
+		c.peers[p.Member] = &peer{member: p.Member, index: i + 1}
 	}
 	c.self = &peer{member: cfg.Member, link: localLink{c}, stateOK: true}
 	c.owner.init(c)
@@ -141,26 +173,32 @@
 
 func (c *Core) later(fn func()) { c.deferred = append(c.deferred, fn) }
 
-// EndBatch runs what the commands of a batch left to do.
+// EndBatch runs what the commands of a batch left to do, and sends what they
+// gathered for other members.
 func (c *Core) EndBatch() {
-	for len(c.deferred) > 0 || len(c.inbox) > 0 {
-		if len(c.inbox) > 0 {
-			f := c.inbox[0]
-			c.inbox = c.inbox[1:]
-			c.onFrame(c.self, f.f)
-			continue
+	for len(c.deferred) > 0 || len(c.inbox) > 0 || len(c.owner.changed) > 0 || len(c.stream.orders) > 0 || c.self.reports != nil {
+		for len(c.deferred) > 0 || len(c.inbox) > 0 {
+			if len(c.inbox) > 0 {
+				f := c.inbox[0]
+				c.inbox = c.inbox[1:]
+				c.onFrame(c.self, f.f)
+				continue
+			}
+			fn := c.deferred[0]
+			c.deferred = c.deferred[1:]
+			fn()
 		}
-		fn := c.deferred[0]
-		c.deferred = c.deferred[1:]
-		fn()
-	}
-	c.owner.publish()
-	for len(c.inbox) > 0 {
-		f := c.inbox[0]
-		c.inbox = c.inbox[1:]
-		c.onFrame(c.self, f.f)
+		c.owner.publish()
+		c.stream.flushOrders()
+		c.self.flush()
 	}
 	c.inbox, c.deferred = nil, nil
+	for _, p := range c.peers {
+		p.flush()
+		if p.link != nil {
+			p.link.Flush()
+		}
+	}
 }
 
 // Tick does what time asks for. It is called about ten times a second.
@@ -194,11 +232,9 @@
 	}
 	f := &meshpb.Frame{Body: &meshpb.Frame_Beat{Beat: b}}
 	for _, p := range c.peers {
-		if p.link != nil {
-			p.link.Send(f)
-		}
+		p.send(f)
 	}
-	c.self.link.Send(f)
+	c.self.send(f)
 }
 
 // LinkUp tells that a stream to a member has begun.
@@ -211,8 +247,8 @@
 	if p.link != nil {
 		c.LinkDown(p.link)
 	}
-	p.link, p.askedUptime, p.younger = l, c.now(), false
-	l.Send(&meshpb.Frame{Body: &meshpb.Frame_UptimeAsk{UptimeAsk: &meshpb.UptimeAsk{}}})
+	p.link, p.reports, p.askedUptime, p.younger = l, nil, c.now(), false
+	p.send(&meshpb.Frame{Body: &meshpb.Frame_UptimeAsk{UptimeAsk: &meshpb.UptimeAsk{}}})
 	c.byLink[l] = p
 	c.stream.join()
 }
@@ -224,9 +260,9 @@
 		return
 	}
 	delete(c.byLink, l)
-	p.link, p.stateOK, p.younger = nil, false, false
+	p.link, p.reports, p.stateOK, p.younger = nil, nil, false, false
 	if c.leader != nil {
-		c.leader.peerDown(p)
+		c.leader.peerGone(p)
 	}
 	if c.stream.from == p {
 		c.stream.reset()
@@ -250,8 +286,8 @@
 		}
 	case *meshpb.Frame_Joined:
 		c.stream.onJoined(p, b.Joined)
-	case *meshpb.Frame_Report:
-		c.stream.onReport(p, b.Report)
+	case *meshpb.Frame_Reports:
+		c.stream.onReports(p, b.Reports)
 	case *meshpb.Frame_Offer:
 		c.stream.onOffer(p, b.Offer)
 	case *meshpb.Frame_Unplaced:
@@ -283,7 +319,7 @@
 	case *meshpb.Frame_Handover:
 		c.session.onHandover(p, b.Handover)
 	case *meshpb.Frame_UptimeAsk:
-		p.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Uptime{Uptime: &meshpb.Uptime{Us: (c.now() - c.started).Microseconds()}}})
+		p.send(&meshpb.Frame{Body: &meshpb.Frame_Uptime{Uptime: &meshpb.Uptime{Us: (c.now() - c.started).Microseconds()}}})
 	case *meshpb.Frame_Uptime:
 		// It was measured after the question went out, however late either
 		// was on its way.
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -14,6 +14,7 @@
 	cloudTimeout   = 4 * time.Second
 	cloudRetry     = 1500 * time.Millisecond
 	listPage       = 500
+	leaderShare    = 0.75 // of the cloud's rate
 )
 
 // fleet is what the cloud says. Every node keeps the catalogue, to judge
@@ -50,9 +51,9 @@
 func (f *fleet) allow(now time.Duration) bool {
 	rate := f.c.cfg.Settings.Cloud.RPS
 	if f.c.leader != nil {
-		rate *= 0.75
+		rate *= leaderShare
 	} else {
-		rate *= 0.25 / float64(max(1, len(f.c.cfg.Known)))
+		rate *= (1 - leaderShare) / float64(max(1, len(f.c.cfg.Known)))
 	}
 	f.level = min(max(1, rate), f.level+rate*(now-f.at).Seconds())
 	f.at = now
@@ -125,12 +126,14 @@
 			e.since = old.since
 		}
 		fresh[g.ID] = e
-		m := l.machines[g.ID]
-		if m == nil && len(l.machines) < maxMachines {
-			m = &machine{name: g.ID, typ: g.Type, zone: g.Zone, spot: g.Spot}
-			l.machines[g.ID] = m
+		m := l.machines.add(g.ID)
+		if m == nil {
+			continue
 		}
-		if g.Status == "failed" && m != nil {
+		if !m.reported {
+			m.variant = variant{g.Type, g.Zone, g.Spot}
+		}
+		if g.Status == "failed" {
 			l.goneForGood(m)
 		}
 	}
--- /dev/null
+++ b/internal/coordination/jobs.go
@@ -0,0 +1,382 @@
+package coordination
+
+import (
+	"math"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+	"github.com/cobaltvale/cobaltvale/internal/settings"
+)
+
+const tombstoneFor = 10 * time.Minute // how long the leader remembers what has ended
+
+// leaderJob is a job as its owner describes it.
+type leaderJob struct {
+	spec      *meshpb.JobDemand
+	id        string
+	ledger    *leaderLedger
+	team      *teamState
+	prio      protocol.Priority
+	image     *image
+	only      string // the one type that its tasks fit on, or none
+	waiting   int
+	located   int // absolute, by the owner
+	offered   int // in offers that are not answered yet
+	listed    int // live copies that machines list, or were sent
+	used      int // how many its team's use holds for it
+	closed    bool
+	closedAt  time.Duration
+	begun     bool // a task of it was located
+	stops     int  // how often a task of it made room for others
+	rank      rank
+	errorsOn  map[string]bool
+	succeeded bool
+}
+
+// unserved is how many tasks wait and are not on offer.
+func (j *leaderJob) unserved() int {
+	if j.closed || j.team == nil || j.ledger.from == nil {
+		return 0
+	}
+	return max(0, j.waiting-j.offered)
+}
+
+// leaderLedger is a ledger and the member that answers for it now.
+type leaderLedger struct {
+	name     string
+	from     *peer // nil while nobody has joined for it
+	link     Link
+	stamp    uint64
+	joinedAt time.Duration
+	settled  bool
+	counted  bool // its unfinished jobs are known, from its owner or by reading
+	jobs     map[string]*leaderJob
+	arriving map[string]*meshpb.JobDemand
+}
+
+// teamState is a team with what it uses: what its owners have located, what is
+// on offer, and what is left of jobs that are over. It is kept up to date with
+// every change, see recount.
+type teamState struct {
+	cfg  *settings.Team
+	cpus float64
+	gpus float64
+	// stopping is the part of cpus that was told to stop.
+	stopping float64
+}
+
+// share is how much of its guarantee a team uses; the lowest is served first.
+func (t *teamState) share() float64 {
+	s := t.cpus / math.Max(t.cfg.CPUs, 1)
+	if t.cfg.GPUs > 0 {
+		s = math.Max(s, t.gpus/t.cfg.GPUs)
+	}
+	return s
+}
+
+// recount brings what a job's team uses up to date after a change of the job.
+func (l *leader) recount(j *leaderJob) {
+	n := j.located + j.offered
+	if j.closed {
+		n = j.listed
+	}
+	if d := float64(n - j.used); d != 0 && j.team != nil && j.spec != nil {
+		j.team.cpus += d * j.spec.Cpus
+		j.team.gpus += d * j.spec.Gpus
+	}
+	j.used = n
+}
+
+// recountAll adds every team's use up anew, so that rounding errors of many
+// small changes cannot gather.
+func (l *leader) recountAll() {
+	for _, t := range l.teams {
+		t.cpus, t.gpus = 0, 0
+	}
+	for _, j := range l.jobs {
+		if j.team != nil && j.spec != nil {
+			j.team.cpus += float64(j.used) * j.spec.Cpus
+			j.team.gpus += float64(j.used) * j.spec.Gpus
+		}
+	}
+	l.dark = room{}
+	for m := range l.machines.all {
+		l.dark.cpus += m.dark.cpus
+		l.dark.gpus += m.dark.gpus
+	}
+}
+
+// countLedger reads the unfinished jobs of a ledger that nobody has joined
+// for yet: all their tasks may be running and count against their teams.
+func (l *leader) countLedger(g *leaderLedger) {
+	l.c.store.Unfinished(g.name, func(jobs []bookkeeping.RecoveredJob, ok bool) {
+		if l.c.leader != l || g.counted {
+			return
+		}
+		if !ok {
+			l.c.store.After(sessionRetry, func() {
+				if l.c.leader == l && !g.counted {
+					l.countLedger(g)
+				}
+			})
+			return
+		}
+		for i := range jobs {
+			s := &jobs[i].Job
+			l.putJob(g, &meshpb.JobDemand{Job: s.ID, Team: s.Team, Cpus: s.CPUs, Gpus: s.GPUs, MemoryGb: s.MemoryGB,
+				Priority: uint32(s.Priority), Class: s.Class, Located: uint32(s.Tasks), Spec: true})
+		}
+		g.counted = true
+	})
+}
+
+func (l *leader) putJob(g *leaderLedger, d *meshpb.JobDemand) {
+	j := l.jobs[d.Job]
+	if j == nil {
+		if !d.Spec || d.Closed {
+			if d.Closed {
+				l.jobs[d.Job] = &leaderJob{id: d.Job, ledger: g, closed: true, closedAt: l.c.now(), team: l.teams[d.Team]}
+			}
+			return
+		}
+		j = &leaderJob{id: d.Job, errorsOn: make(map[string]bool)}
+		l.jobs[d.Job] = j
+	}
+	if d.Spec && !j.closed {
+		l.describe(j, d)
+	}
+	j.ledger = g
+	if j.closed {
+		return // it stays over, whatever a late message says
+	}
+	g.jobs[d.Job] = j
+	l.setNumbers(j, d)
+	if d.Closed {
+		l.closeJob(j)
+	}
+}
+
+// describe takes a job's description.
+func (l *leader) describe(j *leaderJob, d *meshpb.JobDemand) {
+	used := j.used
+	if j.spec != nil && used > 0 { // what is counted for it was of the old size
+		j.team.cpus -= float64(used) * j.spec.Cpus
+		j.team.gpus -= float64(used) * j.spec.Gpus
+	}
+	j.used = 0
+	j.spec, j.team, j.prio = d, l.teams[d.Team], protocol.Priority(d.Priority)
+	j.image = l.images.of(d.Image, d.ImageGb)
+	j.only = l.rent.onlyType(d)
+	l.recount(j)
+}
+
+// setNumbers takes what the owner says of a job: how many tasks wait, and how
+// many may be on machines.
+func (l *leader) setNumbers(j *leaderJob, d *meshpb.JobDemand) {
+	if int(d.Waiting) > j.waiting {
+		l.demand.stale = true
+	}
+	j.waiting, j.located = int(d.Waiting), int(d.Located)
+	j.begun = j.begun || j.located > 0
+	l.recount(j)
+}
+
+// closeJob notes that a job is over: what is left of it has to go.
+func (l *leader) closeJob(j *leaderJob) {
+	j.closed, j.closedAt, j.waiting = true, l.c.now(), 0
+	delete(j.ledger.jobs, j.id)
+	l.recount(j)
+}
+
+// onJoin takes up an owner's ledger with all its unfinished jobs.
+func (l *leader) onJoin(p *peer, f *meshpb.Join) {
+	if f.Token != l.token {
+		return
+	}
+	g := l.ledgers[f.Ledger]
+	if g == nil {
+		g = &leaderLedger{name: f.Ledger, jobs: make(map[string]*leaderJob)}
+		l.ledgers[f.Ledger] = g
+	}
+	if f.Stamp < g.stamp {
+		return
+	}
+	if g.arriving == nil {
+		g.arriving = make(map[string]*meshpb.JobDemand)
+	}
+	for _, d := range f.Jobs {
+		g.arriving[d.Job] = d
+	}
+	if f.More {
+		return
+	}
+	now := l.c.now()
+	l.cancelOffers(g)
+	for id, j := range g.jobs {
+		if g.arriving[id] == nil {
+			l.closeJob(j)
+		}
+	}
+	g.from, g.link, g.stamp, g.joinedAt, g.settled, g.counted = p, p.link, f.Stamp, now, false, true
+	for _, d := range g.arriving {
+		l.putJob(g, d)
+	}
+	g.arriving = nil
+	l.demand.stale = true
+	p.send(&meshpb.Frame{Body: &meshpb.Frame_Joined{Joined: &meshpb.Joined{Ledger: f.Ledger, Token: l.token, ClockUs: now.Microseconds()}}})
+	l.tellAll(p)
+}
+
+func (l *leader) onDemand(p *peer, f *meshpb.Demand) {
+	g := l.ledgers[f.Ledger]
+	if g == nil || g.from != p {
+		return
+	}
+	for _, d := range f.Jobs {
+		l.putJob(g, d)
+	}
+}
+
+// peerDown keeps what a member's ledgers had, all of it counted as located,
+// until somebody joins for them again.
+func (l *leader) peerDown(p *peer) {
+	for _, g := range l.ledgers {
+		if g.from != p {
+			continue
+		}
+		l.cancelOffers(g)
+		g.from, g.link, g.arriving = nil, nil, nil
+		for _, j := range g.jobs {
+			j.located += j.waiting
+			j.waiting = 0
+			l.recount(j)
+		}
+	}
+}
+
+func (l *leader) allJoined() bool {
+	for _, g := range l.ledgers {
+		if g.from == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// sweepClosed forgets the jobs that were over long ago.
+func (l *leader) sweepClosed(now time.Duration) {
+	for id, j := range l.jobs {
+		if j.closed && j.listed == 0 && j.offered == 0 && now-j.closedAt > tombstoneFor {
+			delete(l.jobs, id)
+		}
+	}
+}
+
+// settle tells a new owner when no copy of its recovered tasks can be left
+// that it has not been told of.
+func (l *leader) settle(now time.Duration, span time.Duration) {
+	for _, g := range l.ledgers {
+		if g.from == nil || g.settled {
+			continue
+		}
+		ok := l.roster || now-g.joinedAt > span
+		for m := range l.machines.all {
+			if !ok {
+				break
+			}
+			ok = m.gone || m.record == "" || l.accounted(m, g) || now-max(m.heard, g.joinedAt) > span
+		}
+		if ok {
+			g.settled = true
+			g.from.send(&meshpb.Frame{Body: &meshpb.Frame_Settled{Settled: &meshpb.Settled{Ledger: g.name, Token: l.token}}})
+		}
+	}
+}
+
+// accounted tells whether a ledger's present owner has been told all that may
+// be on a machine: by a report since it joined, or by the last one before if
+// nothing of the ledger was sent to the machine after that.
+func (l *leader) accounted(m *machine, g *leaderLedger) bool {
+	if m.currentAt == 0 || m.currentAt > g.joinedAt {
+		return m.currentAt > 0
+	}
+	for i := range m.sent {
+		if m.sent[i].job.ledger == g {
+			return false
+		}
+	}
+	return true
+}
+
+// allows tells whether a job may run on a machine.
+func allows(s *meshpb.JobDemand, v variant) bool {
+	if (v.spot && !s.Spot) || (s.Zone != "" && s.Zone != v.zone) {
+		return false
+	}
+	if s.AnyType {
+		return true
+	}
+	for _, t := range s.Types {
+		if t == v.typ {
+			return true
+		}
+	}
+	return false
+}
+
+// withinLimit tells whether one more task keeps its team inside its limit,
+// whatever may be running unseen.
+func (l *leader) withinLimit(j *leaderJob) bool {
+	t := j.team.cfg
+	check := func(limit, used, unseen, need float64) bool {
+		if limit <= 0 || need == 0 {
+			return true
+		}
+		for _, g := range l.ledgers {
+			if !g.counted {
+				return false
+			}
+		}
+		if !l.roster {
+			// Machines may exist that this leader has never heard of.
+			unseen += limit / 2
+		}
+		return used+unseen+need <= limit+1e-9
+	}
+	return check(t.CPUsMax, j.team.cpus, l.dark.cpus, j.spec.Cpus) && check(t.GPUsMax, j.team.gpus, l.dark.gpus, j.spec.Gpus)
+}
+
+// estimate learns how far the users' estimates of a class are off.
+type estimate struct {
+	ratio float64
+	n     int
+}
+
+const estimateWeight = 0.2
+
+// runTime is the expected run time of a task, corrected by what tasks of its
+// class took.
+func (l *leader) runTime(s *meshpb.JobDemand) time.Duration {
+	f := 1.0
+	if e := l.est[s.Class]; e != nil && e.n >= 5 {
+		f = e.ratio
+	}
+	return seconds(s.EstimateS * f)
+}
+
+func (l *leader) learn(s *meshpb.JobDemand, took time.Duration) {
+	if s.EstimateS <= 0 {
+		return
+	}
+	ratio := math.Min(4, math.Max(0.25, took.Seconds()/s.EstimateS))
+	e := l.est[s.Class]
+	if e == nil {
+		e = &estimate{ratio: ratio}
+		l.est[s.Class] = e
+	}
+	e.n++
+	w := math.Max(estimateWeight/4, 1/float64(e.n))
+	e.ratio += (ratio - e.ratio) * w
+}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -310,20 +310,12 @@
 // forget takes a finished job out of the tables. What is left of it on
 // machines is the leader's to clear.
 func (o *owner) forget(j *ownedJob) {
-	for m, refs := range o.held {
-		kept := refs[:0]
-		for _, r := range refs {
-			if r.job != j {
-				kept = append(kept, r)
-			}
-		}
-		o.setHeld(m, kept)
-	}
-	if j.ledger.stillUn > 0 {
-		for i := range j.tasks {
-			if j.tasks[i].place == unplaced {
-				j.ledger.stillUn--
-			}
+	for i := range j.tasks {
+		switch j.tasks[i].place {
+		case unplaced:
+			j.ledger.stillUn--
+		case inTransit, onMachine:
+			o.unhold(j, int32(i))
 		}
 	}
 	delete(j.ledger.jobs, j.id)
@@ -381,7 +373,7 @@
 	for l, jobs := range by {
 		for len(jobs) > 0 {
 			n := min(len(jobs), joinChunk)
-			o.c.stream.from.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Demand{Demand: &meshpb.Demand{Ledger: l.name, Jobs: jobs[:n]}}})
+			o.c.stream.from.send(&meshpb.Frame{Body: &meshpb.Frame_Demand{Demand: &meshpb.Demand{Ledger: l.name, Jobs: jobs[:n]}}})
 			jobs = jobs[n:]
 		}
 	}
@@ -519,50 +511,54 @@
 	}
 }
 
-// reported takes what a machine lists of this process's jobs. newer says that
-// the report was sent by a worker that follows the present leader, so that
-// what it does not list is gone.
-func (o *owner) reported(m int32, r *meshpb.Report, orders *[]*meshpb.Order) {
-	listed := make(map[taskRef]bool, len(r.Tasks))
-	for _, s := range r.Tasks {
-		j := o.jobs[s.Job]
-		if _, over := o.c.users.finals[s.Job]; j == nil && over {
-			// The leader should know that the job is over; in case it does
-			// not, what is left of it must still go (ran_cancelled).
-			*orders = append(*orders, &meshpb.Order{Machine: r.Machine, Job: s.Job, Task: s.Task, Attempt: s.Attempt,
-				Reap: protocol.TaskState(s.State) == protocol.TaskExited})
-		}
-		if j == nil || int(s.Task) >= len(j.tasks) {
-			continue
-		}
-		i := int32(s.Task)
-		if t := &j.tasks[i]; s.Attempt == t.attempt || t.place == unplaced {
-			listed[taskRef{j, i}] = true
+// reported takes what the leader passes on of a machine. Only a current report
+// tells what is on it: it was sent by a worker that follows the present leader,
+// so that what it does not list is gone. One of a later session, however old,
+// proves that all that the machine held before is gone.
+func (o *owner) reported(m int32, r *meshpb.Report) {
+	whole := r.Current && !r.Same
+	var listed map[taskRef]bool
+	if whole && len(r.Tasks) > 0 {
+		listed = make(map[taskRef]bool, len(r.Tasks))
+		for _, s := range r.Tasks {
+			j := o.jobs[s.Job]
+			if _, over := o.c.users.finals[s.Job]; j == nil && over {
+				// The leader should know that the job is over; in case it does
+				// not, what is left of it must still go (ran_cancelled).
+				o.c.stream.order(m, s.Job, s.Task, s.Attempt, protocol.TaskState(s.State) == protocol.TaskExited)
+			}
+			if j == nil || int(s.Task) >= len(j.tasks) {
+				continue
+			}
+			i := int32(s.Task)
+			if t := &j.tasks[i]; s.Attempt == t.attempt || t.place == unplaced {
+				listed[taskRef{j, i}] = true
+			}
+			o.listed(j, i, m, r.Session, s)
 		}
-		o.listed(j, i, m, r, s, orders)
 	}
-	if !r.Current {
-		return
-	}
-	for _, ref := range append([]taskRef(nil), o.held[m]...) {
+	refs := o.held[m]
+	for k := len(refs) - 1; k >= 0; k-- {
+		ref := refs[k]
 		t := &ref.job.tasks[ref.task]
-		if listed[ref] || t.machine != m {
-			continue
-		}
-		if t.place == inTransit && (r.Session < t.session || (r.Session == t.session && r.Seq <= t.seq)) {
+		switch {
+		case r.Session > t.session:
+		case !r.Current || listed[ref]:
 			continue
+		case t.place == onMachine && !whole:
+			continue // listed as it was before
+		case t.place == inTransit && (r.Session < t.session || r.Seq <= t.seq):
+			continue // sent before the start was
 		}
 		o.lost(ref.job, ref.task)
 	}
 }
 
 // listed takes one listed task.
-func (o *owner) listed(j *ownedJob, i int32, m int32, r *meshpb.Report, s *meshpb.TaskState, orders *[]*meshpb.Order) {
+func (o *owner) listed(j *ownedJob, i int32, m int32, session uint64, s *meshpb.TaskState) {
 	t := &j.tasks[i]
 	exited := protocol.TaskState(s.State) == protocol.TaskExited
-	clear := func() {
-		*orders = append(*orders, &meshpb.Order{Machine: r.Machine, Job: j.id, Task: s.Task, Attempt: s.Attempt, Reap: exited})
-	}
+	clear := func() { o.c.stream.order(m, j.id, s.Task, s.Attempt, exited) }
 	if j.ending != "" && t.place != written {
 		// The leader clears machines of jobs that are over.
 		return
@@ -587,6 +583,7 @@
 		t.attempt = s.Attempt
 		j.ledger.tries = max(j.ledger.tries, s.Attempt)
 		o.locate(j, i, m, onMachine)
+		t.session = session
 	case waiting, cooling:
 		// Every copy was proven gone, or this is a late list of one.
 		clear()
@@ -600,6 +597,7 @@
 			return
 		}
 		o.locate(j, i, m, onMachine)
+		t.session = session
 	}
 	if !exited {
 		o.setRunning(j, i, protocol.TaskState(s.State) != protocol.TaskFetching)
@@ -649,6 +647,7 @@
 		if t := &j.tasks[i]; t.place == completed {
 			t.place = written
 			j.nWrit++
+			o.c.stream.order(t.machine, j.id, uint32(i), t.attempt, true)
 		}
 	})
 }
--- /dev/null
+++ b/internal/coordination/preempt.go
@@ -0,0 +1,335 @@
+package coordination
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+)
+
+const (
+	weighEvery = 300 * time.Millisecond
+	almostDone = 3 * time.Second // a task this close to its end is not stopped for another
+)
+
+// shortage is how much room is lacking for what may stop other tasks, beyond
+// what is free or about to be. It is worked out a few times a second; the
+// reports in between share what it says.
+type shortage struct {
+	at     time.Duration
+	urgent float64       // CPUs for urgent tasks; by image in image.urgent
+	dear   time.Duration // what the dearest task costs that has to be stopped for them
+	teams  float64       // CPUs that teams lack of their guarantees
+	back   time.Duration // what the dearest task costs that has to be given back
+	lack   []*leaderJob  // the jobs that lack their team's guarantee
+}
+
+// preempt stops tasks of lower priority on a reporting machine while urgent
+// tasks wait that no free room will take, or of teams that use more than their
+// guarantee while another lacks its own.
+func (l *leader) preempt(m *machine, a *answer, now time.Duration) {
+	if !l.usable(m, now) {
+		l.drain(m, a, now)
+		return
+	}
+	l.weigh(now)
+	s := &l.short
+	if k := l.demand.kinds[m.variant]; s.urgent > 0 && k != nil {
+		for _, q := range k.images {
+			if q.stops && q.image.urgent > 0 && (q.fetch || m.has(q.image)) {
+				got := l.makeRoom(m, a, math.Min(q.image.urgent, s.urgent), s.dear, now, isLower)
+				q.image.urgent -= got
+				s.urgent -= got
+			}
+		}
+		return
+	}
+	if s.teams > 0 {
+		for _, j := range s.lack {
+			if l.couldTake(m, j) {
+				s.teams -= l.makeRoom(m, a, s.teams, s.back, now, l.isBorrowed)
+				return
+			}
+		}
+	}
+}
+
+func isLower(t *placed) bool { return t.job.prio < protocol.PriorityHigh }
+
+// isBorrowed tells whether a task uses what its team has beyond its guarantee;
+// a team gives back what it has borrowed, and no more.
+func (l *leader) isBorrowed(t *placed) bool {
+	team := t.job.team
+	return team != nil && team.cpus-team.stopping-t.job.spec.Cpus >= team.cfg.CPUs
+}
+
+// makeRoom stops tasks on a reporting machine, those first that lose least,
+// and none that costs more than what has to be stopped anywhere. It returns
+// the CPUs that this frees.
+func (l *leader) makeRoom(m *machine, a *answer, short float64, limit, now time.Duration, may func(*placed) bool) float64 {
+	got := 0.0
+	for got < short {
+		var victim *placed
+		cost := limit
+		for i := range m.tasks {
+			if t := &m.tasks[i]; l.stoppable(m, t, now) && may(t) {
+				if c := stopCost(m, t, now); c <= cost {
+					victim, cost = t, c
+				}
+			}
+		}
+		if victim == nil {
+			break
+		}
+		victim.stopped = true
+		victim.job.stops++
+		if victim.job.team != nil {
+			victim.job.team.stopping += victim.job.spec.Cpus
+		}
+		got += victim.job.spec.Cpus
+		l.stopTask(m, a, victim)
+	}
+	return got
+}
+
+// stoppable tells whether a task can be stopped to make room. A job whose
+// tasks made room as often as it has tasks is left alone from then on: it
+// would never end if it gave way for ever.
+func (l *leader) stoppable(m *machine, t *placed, now time.Duration) bool {
+	if t.stopped || !t.known() || t.job.closed || m.orders[t.key] != nil || t.job.stops >= int(t.job.spec.Tasks) {
+		return false
+	}
+	return t.state == protocol.TaskFetching || (t.state == protocol.TaskRunning && !l.endsSoon(t, now))
+}
+
+// stopCost is the work that stopping a task loses. A fetch that another task
+// on the machine waits for goes on.
+func stopCost(m *machine, t *placed, now time.Duration) time.Duration {
+	if t.state == protocol.TaskFetching {
+		for i := range m.tasks {
+			o := &m.tasks[i]
+			if o != t && o.state == protocol.TaskFetching && !o.stopped && o.known() && o.job.image == t.job.image {
+				return 0
+			}
+		}
+	}
+	return now - t.since
+}
+
+// stopTask orders a task to save if it can and to stop.
+func (l *leader) stopTask(m *machine, a *answer, t *placed) {
+	grace := 0.0
+	if t.job.spec.CheckpointS > 0 {
+		grace = t.job.spec.SaveS + 1
+	}
+	l.order(m, &meshpb.Order{Machine: m.index, Job: t.key.job, Task: t.key.task, Attempt: t.key.attempt, GraceS: grace})
+	a.commands = append(a.commands, protocol.Command{Op: protocol.VerbStop,
+		Task: protocol.TaskName(t.key.job, int(t.key.task)), Attempt: t.key.attempt, GraceS: &grace})
+}
+
+// weigh works the shortage out anew if it is old.
+func (l *leader) weigh(now time.Duration) {
+	s := &l.short
+	if now-s.at < weighEvery {
+		return
+	}
+	l.arrange(now)
+	*s = shortage{at: now}
+	l.weighUrgent(now)
+	if s.urgent <= 0 {
+		l.weighTeams(now)
+	}
+}
+
+// weighUrgent finds the urgent tasks that lack room where they could go: on
+// machines that have their image, or on any if they would rather have it
+// fetched than wait.
+func (l *leader) weighUrgent(now time.Duration) {
+	for _, im := range l.images.byName {
+		im.urgent = 0
+	}
+	s := &l.short
+	room := make(map[*teamState]float64)
+	for _, j := range l.demand.jobs {
+		if j.prio < protocol.PriorityHigh || j.unserved() == 0 || !l.withinLimit(j) {
+			continue
+		}
+		n := float64(j.unserved()) * j.spec.Cpus
+		if limit := j.team.cfg.CPUsMax; limit > 0 {
+			if _, ok := room[j.team]; !ok {
+				room[j.team] = limit - j.team.cpus
+			}
+			n = math.Min(n, math.Max(0, room[j.team]))
+			room[j.team] -= n
+		}
+		j.image.urgent += n
+		s.urgent += n
+	}
+	if s.urgent <= 0 {
+		return
+	}
+	var victims []victim
+	for m := range l.machines.all {
+		if !l.usable(m, now) {
+			continue
+		}
+		k := l.demand.kinds[m.variant]
+		if k == nil {
+			continue
+		}
+		frees := math.Max(0, m.free.cpus)
+		for i := range m.tasks {
+			t := &m.tasks[i]
+			if t.state != protocol.TaskExited && t.known() && (t.stopped || l.endsSoon(t, now)) {
+				frees += t.job.spec.Cpus
+			}
+		}
+		could := false
+		serve := func(im *image) {
+			if q := k.byImage[im]; im.urgent > 0 && q != nil {
+				could = could || q.stops
+				n := math.Min(frees, im.urgent)
+				im.urgent -= n
+				s.urgent -= n
+				frees -= n
+			}
+		}
+		for i := range m.images {
+			serve(m.images[i].image)
+		}
+		for _, q := range k.images {
+			if q.fetch {
+				serve(q.image)
+			}
+		}
+		if could {
+			victims = l.addVictims(victims, m, now, isLower)
+		}
+	}
+	s.dear = limitOf(victims, s.urgent)
+}
+
+// victim is a task that could be stopped, and what that would lose.
+type victim struct {
+	cost time.Duration
+	cpus float64
+}
+
+func (l *leader) addVictims(all []victim, m *machine, now time.Duration, may func(*placed) bool) []victim {
+	for i := range m.tasks {
+		if t := &m.tasks[i]; l.stoppable(m, t, now) && may(t) {
+			all = append(all, victim{stopCost(m, t, now), t.job.spec.Cpus})
+		}
+	}
+	return all
+}
+
+// limitOf is what the dearest task costs that has to be stopped anywhere to
+// make up for a shortage, if the cheapest are taken.
+func limitOf(all []victim, short float64) time.Duration {
+	if short <= 0 {
+		return 0
+	}
+	sort.Slice(all, func(i, k int) bool { return all[i].cost < all[k].cost })
+	for _, v := range all {
+		if short -= v.cpus; short <= 0 {
+			return v.cost
+		}
+	}
+	return time.Duration(math.MaxInt64)
+}
+
+// endsSoon tells whether a task is expected to end within moments. One that
+// should have ended a while ago may go on for long.
+func (l *leader) endsSoon(t *placed, now time.Duration) bool {
+	if t.state != protocol.TaskRunning || !t.known() {
+		return false
+	}
+	left := l.runTime(t.job.spec) - (now - t.since)
+	return left < almostDone && left > -almostDone/2
+}
+
+// weighTeams finds how many CPUs teams lack that have work waiting, use less
+// than their guarantee, and can get no more machines.
+func (l *leader) weighTeams(now time.Duration) {
+	s := &l.short
+	need := make(map[*teamState]float64)
+	for _, j := range l.demand.jobs {
+		if j.unserved() > 0 && j.team.cfg.CPUs > j.team.cpus && !l.rent.available(j, now) {
+			need[j.team] += float64(j.unserved()) * j.spec.Cpus
+			s.lack = append(s.lack, j)
+		}
+	}
+	for t, n := range need {
+		s.teams += math.Max(0, math.Min(n, t.cfg.CPUs-t.cpus))
+	}
+	if s.teams <= 0 {
+		return
+	}
+	for _, t := range l.teams {
+		t.stopping = 0
+	}
+	var victims []victim
+	for m := range l.machines.all {
+		if !l.usable(m, now) {
+			continue
+		}
+		s.teams -= math.Max(0, m.free.cpus)
+		for i := range m.tasks {
+			t := &m.tasks[i]
+			if t.state == protocol.TaskExited || !t.known() {
+				continue
+			}
+			if t.stopped && t.job.team != nil {
+				t.job.team.stopping += t.job.spec.Cpus
+			}
+			if t.stopped || l.endsSoon(t, now) {
+				s.teams -= t.job.spec.Cpus
+			}
+		}
+	}
+	if s.teams <= 0 {
+		return
+	}
+	for m := range l.machines.all {
+		if l.usable(m, now) {
+			victims = l.addVictims(victims, m, now, l.isBorrowed)
+		}
+	}
+	s.back = limitOf(victims, s.teams)
+}
+
+// couldTake tells whether an empty machine would be offered to a job.
+func (l *leader) couldTake(m *machine, j *leaderJob) bool {
+	t := l.c.fleet.types[m.typ]
+	if t == nil || !allows(j.spec, m.variant) || l.failsHere(j, m) || l.keptForOthers(j, m.typ) {
+		return false
+	}
+	return wholeRoom(t).fits(j.spec) && (m.has(j.image) || l.worthFetching(j, m))
+}
+
+// drain stops, on a machine that the cloud takes back soon, what cannot end
+// in time: it may start elsewhere as soon as the machine confirms the stop,
+// not only after a lease.
+func (l *leader) drain(m *machine, a *answer, now time.Duration) {
+	if m.noticeAt == 0 && !m.sick {
+		return
+	}
+	for i := range m.tasks {
+		t := &m.tasks[i]
+		if t.stopped || !t.known() || t.job.closed || t.state == protocol.TaskExited || m.orders[t.key] != nil {
+			continue
+		}
+		left := l.runTime(t.job.spec)
+		if t.state == protocol.TaskRunning {
+			left -= now - t.since
+		}
+		if m.noticeAt > 0 && now+max(left, 0) < m.noticeAt-time.Second {
+			continue
+		}
+		t.stopped = true
+		l.stopTask(m, a, t)
+	}
+}
--- a/internal/coordination/promise.go
+++ b/internal/coordination/promise.go
@@ -86,9 +86,7 @@
 		return
 	}
 	for _, peer := range s.c.peers {
-		if peer.link != nil {
-			peer.link.Send(&meshpb.Frame{Body: &meshpb.Frame_PromiseAsk{PromiseAsk: f}})
-		}
+		peer.send(&meshpb.Frame{Body: &meshpb.Frame_PromiseAsk{PromiseAsk: f}})
 	}
 }
 
@@ -111,7 +109,7 @@
 		s.promises.fresh = false
 		s.promises.bound = max(s.promises.bound, s.c.now()+promiseSpan+promiseDrift)
 	}
-	from.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Promise{Promise: &meshpb.Promise{Round: f.Round, Given: given}}})
+	from.send(&meshpb.Frame{Body: &meshpb.Frame_Promise{Promise: &meshpb.Promise{Round: f.Round, Given: given}}})
 }
 
 func (s *session) onPromise(from *peer, f *meshpb.Promise) {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -32,8 +32,9 @@
 // Stop ends Run.
 func (q *Queue) Stop() { close(q.stop) }
 
-// Run drains the queue into core until Stop.
-func (q *Queue) Run(core *Core) {
+// Run drains the queue into core until Stop. rest is called whenever all that
+// was queued has been dealt with.
+func (q *Queue) Run(core *Core, rest func()) {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -47,6 +48,9 @@
 			q.drain()
 		}
 		core.EndBatch()
+		if len(q.commands) == 0 {
+			rest()
+		}
 	}
 }
 
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -12,24 +12,17 @@
 )
 
 const (
-	maxRent        = 50  // machines in one request
-	maxRelease     = 100 // names in one request
-	refusedPause   = 12 * time.Second
-	minCharge      = 60 * time.Second // what a machine costs at the least
-	bootFactor     = 3.0              // a boot this many times longer than usual has failed
-	bootGrace      = 10 * time.Second
-	settleIn       = 6 * time.Second // a new leader looks before it rents
-	maxRentPerTick = 60
-	rentTries      = 20
-	waveShare      = 0.25 // of a deadline's slack that waiting in line may take
+	maxRent      = 50  // machines in one request
+	maxRelease   = 100 // names in one request
+	refusedPause = 12 * time.Second
+	minCharge    = 60 * time.Second // what a machine costs at the least
+	bootFactor   = 3.0              // a boot this many times longer than usual has failed
+	bootGrace    = 10 * time.Second
+	settleIn     = 6 * time.Second // a new leader looks before it rents
+	rentTries    = 20
+	waveShare    = 0.25 // of a deadline's slack that waiting in line may take
 )
 
-// variant is what can be rented.
-type variant struct {
-	typ, zone string
-	spot      bool
-}
-
 // rentRequest is repeated under its name until it is answered: a repeated
 // request rents nothing more.
 type rentRequest struct {
@@ -49,6 +42,9 @@
 	trouble  time.Duration // no requests before
 	needs    map[string]time.Duration
 	busy     int // release calls in flight
+	inZone   map[string]int
+	booting  map[variant]int // machines that are to come
+	variants []variant       // all that can be rented, spot ones first
 }
 
 func (r *renting) init(l *leader) {
@@ -60,7 +56,7 @@
 // onList takes in what a list says of machines that have not reported.
 func (r *renting) onList(now time.Duration) {
 	for name, e := range r.l.c.fleet.listed {
-		if m := r.l.machines[name]; m != nil && m.rentedAt == 0 {
+		if m := r.l.machines.get(name); m != nil && m.rentedAt == 0 {
 			m.rentedAt = now - seconds(e.AgeS)
 		}
 	}
@@ -76,8 +72,7 @@
 func (r *renting) onlyType(s *meshpb.JobDemand) string {
 	only := ""
 	for name, t := range r.l.c.fleet.types {
-		whole := room{t.CPUs, t.GPUs, t.MemoryGB}
-		if !whole.fits(s) || !(s.AnyType || allows(s, name, s.Zone, s.Spot)) {
+		if !wholeRoom(t).fits(s) || !(s.AnyType || allows(s, variant{name, s.Zone, s.Spot})) {
 			continue
 		}
 		if only != "" {
@@ -93,67 +88,173 @@
 	if len(types) == 0 {
 		return
 	}
-	for _, j := range r.l.jobs {
-		if j.closed || j.spec == nil || j.waiting+j.located == 0 {
-			continue
-		}
-		if only := r.onlyType(j.spec); only != "" {
-			r.needs[only] = now
+	for _, g := range r.l.ledgers {
+		for _, j := range g.jobs {
+			if j.spec != nil && j.waiting+j.located > 0 {
+				j.only = r.onlyType(j.spec)
+				if j.only != "" {
+					r.needs[j.only] = now
+				}
+			}
 		}
 	}
+	r.l.demand.stale = true
+	r.l.arrange(now)
+	r.count(now)
+	have := r.supplies(now)
+	lacking := r.match(have, now)
 	r.release(now)
 	r.resend(now)
 	if now-r.l.since >= settleIn && now >= r.trouble {
-		r.rent(now)
+		r.rent(lacking, have, now)
+	}
+}
+
+// count notes how many machines each zone has, and which are to come.
+func (r *renting) count(now time.Duration) {
+	r.inZone, r.booting, r.variants = make(map[string]int), make(map[variant]int), r.variants[:0]
+	for name, t := range r.l.c.fleet.types {
+		for _, z := range t.Zones {
+			r.variants = append(r.variants, variant{name, z, true}, variant{name, z, false})
+		}
+	}
+	sort.Slice(r.variants, func(i, k int) bool {
+		a, b := r.variants[i], r.variants[k]
+		if a.spot != b.spot {
+			return a.spot
+		}
+		return a.typ < b.typ || (a.typ == b.typ && a.zone < b.zone)
+	})
+	for m := range r.l.machines.all {
+		if m.gone {
+			continue
+		}
+		r.inZone[m.zone]++
+		if t := r.l.c.fleet.types[m.typ]; t != nil && !m.leaving && m.record == "" && now-m.rentedAt < r.bootLimit(t) {
+			r.booting[m.variant]++
+		}
 	}
 }
 
 // supply is a machine, there or to come, with its free room.
 type supply struct {
 	m    *machine
-	v    variant
 	room room
 }
 
-func (r *renting) supplies(now time.Duration) []*supply {
-	var out []*supply
-	for _, m := range r.l.machines {
+// supplies lists by variant what has room now or soon, the fullest first.
+func (r *renting) supplies(now time.Duration) map[variant][]*supply {
+	out := make(map[variant][]*supply)
+	least := room{cpus: math.Inf(1)}
+	for _, j := range r.l.demand.jobs {
+		least.cpus = math.Min(least.cpus, j.spec.Cpus)
+	}
+	for m := range r.l.machines.all {
 		t := r.l.c.fleet.types[m.typ]
 		if t == nil || m.gone || m.leaving || m.sick {
 			continue
 		}
-		v := variant{m.typ, m.zone, m.spot}
+		m.kept = false
+		free := room{}
 		switch {
 		case r.l.usable(m, now):
-			out = append(out, &supply{m: m, v: v, room: r.soonFree(m, t, now)})
-		case !m.reported && now-m.rentedAt < r.bootLimit(t):
-			out = append(out, &supply{m: m, v: v, room: room{t.CPUs, t.GPUs, t.MemoryGB}})
+			free = r.soonFree(m, t, now)
+		case m.record == "" && now-m.rentedAt < r.bootLimit(t):
+			free = wholeRoom(t)
+		}
+		if free.cpus > 0 && free.cpus >= least.cpus {
+			out[m.variant] = append(out[m.variant], &supply{m: m, room: free})
 		}
 	}
 	for _, q := range r.requests {
 		if t := r.l.c.fleet.types[q.v.typ]; t != nil {
 			for range q.Count {
-				out = append(out, &supply{v: q.v, room: room{t.CPUs, t.GPUs, t.MemoryGB}})
+				out[q.v] = append(out[q.v], &supply{room: wholeRoom(t)})
 			}
 		}
 	}
-	sort.Slice(out, func(i, k int) bool { return out[i].room.cpus < out[k].room.cpus })
+	for _, list := range out {
+		sort.SliceStable(list, func(i, k int) bool { return list[i].room.cpus < list[k].room.cpus })
+	}
+	return out
+}
+
+// lack is how many of a job's tasks find no room on machines there or to come.
+type lack struct {
+	job *leaderJob
+	n   int
+}
+
+// match gives the waiting tasks, in the order of service, the room that there
+// is, and marks the machines that they can use.
+func (r *renting) match(have map[variant][]*supply, now time.Duration) []lack {
+	wall := r.l.c.env.Wall().UnixMilli()
+	var out []lack
+	rest := make([]lack, 0, len(r.l.demand.jobs))
+	for _, j := range r.l.demand.jobs {
+		n := r.wanted(j, wall)
+		if short := r.place(j, n, have); short > 0 {
+			out = append(out, lack{j, short})
+		} else if all := j.unserved() - n; all > 0 {
+			rest = append(rest, lack{j, all})
+		}
+	}
+	for _, k := range rest {
+		r.place(k.job, k.n, have)
+	}
 	return out
 }
 
+// place takes room for n tasks of a job and returns how many found none.
+func (r *renting) place(j *leaderJob, n int, have map[variant][]*supply) int {
+	for _, v := range r.variants {
+		list := have[v]
+		if n == 0 {
+			break
+		}
+		if !allows(j.spec, v) || r.l.keptForOthers(j, v.typ) {
+			continue
+		}
+		full := 0
+		for _, s := range list {
+			if n == 0 {
+				break
+			}
+			for n > 0 && s.room.fits(j.spec) {
+				s.room.take(j.spec)
+				n--
+				if s.m != nil {
+					s.m.kept = true
+				}
+			}
+			if s.room.cpus <= 0 {
+				full++
+			}
+		}
+		if full > len(list)/2 {
+			kept := list[:0]
+			for _, s := range list {
+				if s.room.cpus > 0 {
+					kept = append(kept, s)
+				}
+			}
+			have[v] = kept
+		}
+	}
+	return n
+}
+
 // soonFree is the room a machine has free by the time that another one, were
 // it rented now, would usually be up.
 func (r *renting) soonFree(m *machine, t *protocol.MachineType, now time.Duration) room {
-	free := r.l.free(m)
+	free := m.free
 	for i := range m.tasks {
 		p := &m.tasks[i]
-		if p.state != protocol.TaskRunning || p.job == nil || p.job.spec == nil {
+		if p.state != protocol.TaskRunning || !p.known() {
 			continue
 		}
 		if left := r.l.runTime(p.job.spec) - (now - p.since); left < seconds(t.BootS) && left > -seconds(t.BootS) {
-			free.cpus += p.cpus
-			free.gpus += p.gpus
-			free.memory += p.memory
+			free.give(p.job.spec)
 		}
 	}
 	return free
@@ -185,62 +286,27 @@
 
 // rent asks for machines for the waiting tasks that no machine, there or to
 // come, has room for.
-func (r *renting) rent(now time.Duration) {
-	r.l.countTeams()
-	wall := r.l.c.env.Wall().UnixMilli()
-	jobs := make([]*leaderJob, 0, len(r.l.jobs))
-	for _, j := range r.l.jobs {
-		if !j.closed && j.team != nil && j.spec != nil && j.ledger.from != nil && j.waiting > j.offered {
-			jobs = append(jobs, j)
-		}
-	}
-	if len(jobs) == 0 {
-		return
-	}
-	ranks := make(map[*leaderJob]rank, len(jobs))
-	for _, j := range jobs {
-		ranks[j] = r.l.rankOf(j, wall)
-	}
-	sort.Slice(jobs, func(i, k int) bool {
-		a, b := ranks[jobs[i]], ranks[jobs[k]]
-		if a == b {
-			return jobs[i].id < jobs[k].id
-		}
-		return a.before(b)
-	})
-	have := r.supplies(now)
+func (r *renting) rent(lacking []lack, have map[variant][]*supply, now time.Duration) {
 	ask := make(map[variant]int)
-	left := maxRentPerTick
-	for _, j := range jobs {
-		n := r.wanted(j, wall)
-		kept := make(map[string]bool, len(r.l.c.fleet.types))
-		for name := range r.l.c.fleet.types {
-			kept[name] = r.l.keptForOthers(j.spec, name)
-		}
-		for _, s := range have {
-			if n == 0 {
-				break
-			}
-			if kept[s.v.typ] || !allows(j.spec, s.v.typ, s.v.zone, s.v.spot) {
+	left := r.perTick()
+	for _, k := range lacking {
+		j, n := k.job, k.n
+		var last *supply
+		for n > 0 && left > 0 {
+			if last != nil && last.room.fits(j.spec) {
+				last.room.take(j.spec)
+				n--
 				continue
 			}
-			for n > 0 && s.room.fits(j.spec) {
-				s.room.take(j.spec)
-				n--
+			if n = r.place(j, n, have); n == 0 {
+				break // what was asked for a job before has room left
 			}
-		}
-		for n > 0 && left > 0 {
-			v, ok := r.best(j.spec, now, ask)
+			v, ok := r.best(j, now, ask)
 			if !ok {
 				break
 			}
-			t := r.l.c.fleet.types[v.typ]
-			s := &supply{v: v, room: room{t.CPUs, t.GPUs, t.MemoryGB}}
-			for n > 0 && s.room.fits(j.spec) {
-				s.room.take(j.spec)
-				n--
-			}
-			have = append(have, s)
+			last = &supply{room: wholeRoom(r.l.c.fleet.types[v.typ])}
+			have[v] = append(have[v], last)
 			ask[v]++
 			left--
 		}
@@ -257,23 +323,28 @@
 	r.resend(now)
 }
 
+// perTick is how many machines can be asked for in a second.
+func (r *renting) perTick() int {
+	return maxRent * max(1, int(r.l.c.cfg.Settings.Cloud.RPS*leaderShare))
+}
+
 // best chooses what to rent for a task: the cheapest by the room the task
 // takes, and of equals the zone with fewer machines.
-func (r *renting) best(s *meshpb.JobDemand, now time.Duration, ask map[variant]int) (variant, bool) {
-	inZone := make(map[string]int)
-	for _, m := range r.l.machines {
-		if !m.gone {
-			inZone[m.zone]++
+func (r *renting) best(j *leaderJob, now time.Duration, ask map[variant]int) (variant, bool) {
+	s := j.spec
+	inZone := func(zone string) int {
+		n := r.inZone[zone]
+		for v, k := range ask {
+			if v.zone == zone {
+				n += k
+			}
 		}
-	}
-	for v, n := range ask {
-		inZone[v.zone] += n
+		return n
 	}
 	var best variant
 	found, bestCost, bestCount := false, 0.0, 0
 	for name, t := range r.l.c.fleet.types {
-		whole := room{t.CPUs, t.GPUs, t.MemoryGB}
-		if !whole.fits(s) || r.l.keptForOthers(s, name) {
+		if !wholeRoom(t).fits(s) || r.l.keptForOthers(j, name) {
 			continue
 		}
 		part := math.Max(s.Cpus/math.Max(t.CPUs, 1e-9), s.MemoryGb/math.Max(t.MemoryGB, 1e-9))
@@ -283,15 +354,16 @@
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				v := variant{name, z, spot}
-				if r.refused[v] > now || !allows(s, name, z, spot) {
+				if r.refused[v] > now || !allows(s, v) {
 					continue
 				}
 				cost := t.Price * part
 				if spot {
 					cost = t.SpotPrice * part
 				}
-				if !found || cost < bestCost-1e-12 || (cost <= bestCost+1e-12 && inZone[z] < bestCount) {
-					best, found, bestCost, bestCount = v, true, cost, inZone[z]
+				count := inZone(z)
+				if !found || cost < bestCost-1e-12 || (cost <= bestCost+1e-12 && count < bestCount) {
+					best, found, bestCost, bestCount = v, true, cost, count
 				}
 			}
 		}
@@ -299,14 +371,13 @@
 	return best, found
 }
 
-// available tells whether a machine for a task can be had or is to come.
-func (r *renting) available(s *meshpb.JobDemand, now time.Duration) bool {
-	if _, ok := r.best(s, now, nil); ok || now-r.l.since < settleIn {
+// available tells whether a machine for a job's tasks can be had or is to come.
+func (r *renting) available(j *leaderJob, now time.Duration) bool {
+	if _, ok := r.best(j, now, nil); ok || now-r.l.since < settleIn {
 		return true
 	}
-	for _, m := range r.l.machines {
-		t := r.l.c.fleet.types[m.typ]
-		if t != nil && !m.gone && !m.leaving && !m.reported && now-m.rentedAt < r.bootLimit(t) && allows(s, m.typ, m.zone, m.spot) {
+	for v, n := range r.booting {
+		if n > 0 && allows(j.spec, v) {
 			return true
 		}
 	}
@@ -340,10 +411,12 @@
 			break
 		}
 		for _, n := range names.Machines {
-			m := r.l.machines[n]
+			m := r.l.machines.add(n)
 			if m == nil {
-				m = &machine{name: n, typ: q.v.typ, zone: q.v.zone, spot: q.v.spot}
-				r.l.machines[n] = m
+				continue
+			}
+			if !m.reported {
+				m.variant = q.v
 			}
 			if m.rentedAt == 0 {
 				m.rentedAt = now
@@ -387,7 +460,7 @@
 func (r *renting) release(now time.Duration) {
 	silent := make(map[string]int)
 	all := make(map[string]int)
-	for _, m := range r.l.machines {
+	for m := range r.l.machines.all {
 		if m.gone || !m.reported {
 			continue
 		}
@@ -396,16 +469,15 @@
 			silent[m.zone]++
 		}
 	}
-	keep := r.spare(now)
 	var names []string
-	for _, m := range r.l.machines {
+	for m := range r.l.machines.all {
 		if m.gone {
 			if e, ok := r.l.c.fleet.listed[m.name]; ok && e.Status == "failed" && !m.releasing {
 				names = append(names, m.name)
 			}
 			continue
 		}
-		if !m.leaving && r.unwanted(m, now, silent, all, keep) {
+		if !m.leaving && r.unwanted(m, now, silent, all) {
 			m.leaving = true
 		}
 		if m.leaving && !m.releasing && m.pending == nil {
@@ -423,7 +495,7 @@
 func (r *renting) send(names []string) {
 	r.busy++
 	for _, n := range names {
-		r.l.machines[n].releasing = true
+		r.l.machines.get(n).releasing = true
 	}
 	r.l.c.env.Cloud.Call("POST", "/hosts/release", r.l.c.codec.Encode(protocol.MachineNames{Machines: names}), cloudTimeout, func(res bookkeeping.Result) {
 		if r.l.c.leader != r.l {
@@ -431,7 +503,7 @@
 		}
 		r.busy--
 		for _, n := range names {
-			m := r.l.machines[n]
+			m := r.l.machines.get(n)
 			if m == nil {
 				continue
 			}
@@ -447,38 +519,13 @@
 	})
 }
 
-// silence is how long a machine has been silent beyond the limit.
+// silence is how long beyond the limit a machine has said nothing that shows
+// that answers reach it.
 func (r *renting) silence(m *machine, now time.Duration) time.Duration {
-	return now - max(m.heard, r.l.actingAt) - r.l.c.silenceAfter()
-}
-
-// spare counts, by variant, the machines that the waiting tasks can use.
-func (r *renting) spare(now time.Duration) map[*machine]bool {
-	keep := make(map[*machine]bool)
-	have := r.supplies(now)
-	for _, j := range r.l.jobs {
-		if j.closed || j.team == nil || j.spec == nil {
-			continue
-		}
-		n := max(0, j.waiting-j.offered)
-		for _, s := range have {
-			if n == 0 {
-				break
-			}
-			if !allows(j.spec, s.v.typ, s.v.zone, s.v.spot) {
-				continue
-			}
-			for n > 0 && s.room.fits(j.spec) {
-				s.room.take(j.spec)
-				n--
-				keep[s.m] = true
-			}
-		}
-	}
-	return keep
+	return now - max(m.reached, r.l.actingAt) - r.l.c.silenceAfter()
 }
 
-func (r *renting) unwanted(m *machine, now time.Duration, silent, all map[string]int, keep map[*machine]bool) bool {
+func (r *renting) unwanted(m *machine, now time.Duration, silent, all map[string]int) bool {
 	t := r.l.c.fleet.types[m.typ]
 	if r.l.vanished(m, now) {
 		return true
@@ -504,7 +551,7 @@
 	if !m.spot {
 		idle /= 2 // it costs several times as much
 	}
-	return !keep[m] && now-m.idleSince > idle && now-m.rentedAt > minCharge
+	return !m.kept && now-m.idleSince > idle && now-m.rentedAt > minCharge
 }
 
 // holdsEnded tells whether a machine still holds a task of a job that was over
@@ -520,9 +567,3 @@
 	}
 	return false
 }
-
-// empty tells whether nothing is on the machine or on its way there. An
-// ended task counts: its result may not be written yet.
-func (m *machine) empty() bool {
-	return len(m.tasks)+len(m.sent) == 0 && m.pending == nil
-}
--- /dev/null
+++ b/internal/coordination/reports.go
@@ -0,0 +1,484 @@
+package coordination
+
+import (
+	"math"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+)
+
+const (
+	maxClearing = 300              // stops and forgets in one answer
+	toldEvery   = 10 * time.Second // an unchanged list is passed on whole again
+	tellChunk   = 250              // machines in one frame
+)
+
+// answer is a report's answer that waits for its owners' picks.
+type answer struct {
+	m            *machine
+	reply        func(Response)
+	at           time.Duration
+	conn         uint64
+	session, seq uint64
+	commands     []protocol.Command
+	open         []*offer
+	picks        []pickFrom
+	over         bool
+}
+
+type pickFrom struct {
+	from *leaderLedger
+	pick *meshpb.Pick
+}
+
+// checkin handles a worker's report.
+func (c *Core) checkin(req *Request, reply func(Response)) {
+	var w protocol.WireReport
+	if err := c.codec.Decode(req.Body, &w); err != nil {
+		reply(c.refusal(400, err.Error(), 0))
+		return
+	}
+	r, err := w.Check()
+	if err != nil {
+		reply(c.refusal(400, err.Error(), 0))
+		return
+	}
+	now := c.now()
+	l := c.leader
+	if l == nil {
+		if to := c.session.leaderMember(); to != "" && to != c.cfg.Member {
+			reply(Response{Status: 421, Body: c.codec.Encode(protocol.Redirect{ReportTo: to})})
+			return
+		}
+		reply(c.refusal(503, "no leader is known", 1))
+		return
+	}
+	if !c.session.mayAct(now) || r.Token > l.token {
+		reply(c.refusal(503, "not entitled to act at present", 1))
+		return
+	}
+	l.onReport(r, req.Conn, now, reply)
+}
+
+func (l *leader) onReport(r *protocol.Report, conn uint64, now time.Duration, reply func(Response)) {
+	m := l.machines.add(r.Machine)
+	switch {
+	case m == nil:
+		reply(l.c.refusal(503, "too many machines", 1))
+		return
+	case m.gone:
+		reply(l.c.refusal(503, "machine was returned", 1))
+		return
+	case m.reported && (r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq)):
+		// A late copy. It says nothing new, and an answer that a worker took
+		// for a new one would renew its lease.
+		reply(l.c.refusal(503, "report is older than one before", 1))
+		return
+	}
+	if m.pending != nil {
+		l.giveUp(m.pending)
+	}
+	l.note(m, r, conn, now)
+	a := &answer{m: m, reply: reply, at: now, conn: conn, session: r.Session, seq: r.Seq}
+	a.commands = l.clearing(m)
+	if m.reached == now {
+		l.preempt(m, a, now)
+		l.makeOffers(m, a, now)
+	}
+	if len(a.open) == 0 {
+		l.finish(a)
+		return
+	}
+	m.pending = a
+	l.answers = append(l.answers, a)
+}
+
+// note takes a report into the machine's record and passes it on. A report
+// without this leader's token may be a copy from long ago, or the first that a
+// worker sends here: it says only that the machine may be there. The worker's
+// next one, half a second after it has seen the token, says the rest.
+func (l *leader) note(m *machine, r *protocol.Report, conn uint64, now time.Duration) {
+	first := !m.reported
+	anew := m.currentAt == 0 || r.Session != m.session
+	if m.variant != (variant{r.Type, r.Zone, r.Spot}) {
+		m.variant = variant{r.Type, r.Zone, r.Spot}
+		l.measure(m)
+	}
+	if first {
+		l.inherit(m)
+		m.idleSince, m.reached, l.reportAt = now, now, now
+	}
+	m.session, m.seq, m.reported, m.heard = r.Session, r.Seq, true, now
+	if r.Token != l.token {
+		l.shade(m, now)
+		l.passOn(m, false, false, now)
+		return
+	}
+	if m.currentAt == 0 || (conn != 0 && conn == m.conn) {
+		// The worker knows this leader's token for the first time, or has
+		// stayed on the connection of its last report: it had an answer.
+		m.reached, l.reportAt = now, now
+	}
+	m.currentAt = now
+	if r.Notice && m.noticeAt == 0 {
+		m.noticeAt = now + seconds(math.Max(0, r.NoticeS))
+	} else if !r.Notice {
+		m.noticeAt = 0
+	}
+	changed := anew || !m.sameList(r.Tasks)
+	if changed || len(m.sent) > 0 {
+		l.unlist(m)
+		if changed {
+			l.takeList(m, r.Tasks, now)
+		}
+		m.sent = nil
+		l.measure(m)
+	}
+	l.enlist(m)
+	for i := range m.tasks {
+		if m.tasks[i].state != protocol.TaskExited {
+			m.idleSince = now
+			break
+		}
+	}
+	if m.record == "" && !m.recording {
+		l.unnamed = append(l.unnamed, m)
+		m.recording = true
+	}
+	l.shade(m, now)
+	l.passOn(m, true, changed, now)
+}
+
+// sameList tells whether a report lists what the one before did, and nothing
+// in it was unknown then.
+func (m *machine) sameList(tasks []protocol.ReportedTask) bool {
+	if len(tasks) != len(m.tasks) {
+		return false
+	}
+	for i := range tasks {
+		t, p := &tasks[i], &m.tasks[i]
+		if p.job == nil || p.key.job != t.Job || p.key.task != uint32(t.Task) || p.key.attempt != t.Attempt || p.state != t.State || p.why != t.Why {
+			return false
+		}
+	}
+	return true
+}
+
+// takeList takes a changed list of tasks.
+func (l *leader) takeList(m *machine, reported []protocol.ReportedTask, now time.Duration) {
+	find := func(list []placed, key taskKey) *placed {
+		for i := range list {
+			if list[i].key == key {
+				return &list[i]
+			}
+		}
+		return nil
+	}
+	before := m.tasks
+	m.tasks = make([]placed, 0, len(reported))
+	typ := l.c.fleet.types[m.typ]
+	for _, t := range reported {
+		key := taskKey{t.Job, uint32(t.Task), t.Attempt}
+		p := placed{key: key, state: t.State, why: t.Why, since: now, job: l.jobs[t.Job]}
+		old := find(before, key)
+		if old == nil {
+			old = find(m.sent, key) // it may have ended before it was ever listed
+		}
+		if old != nil {
+			p.stopped = old.stopped
+			if old.state == t.State {
+				p.since = old.since
+			}
+		}
+		if p.job != nil && p.job.image != nil && typ != nil && t.State != protocol.TaskExited {
+			m.useImage(p.job.image, typ.CacheGB, now)
+		}
+		if t.State == protocol.TaskExited && old != nil && old.state != protocol.TaskExited {
+			l.noteEnd(m, &p, old, now)
+		}
+		m.tasks = append(m.tasks, p)
+	}
+	for key := range m.orders {
+		if !m.lists(key) {
+			delete(m.orders, key)
+		}
+	}
+}
+
+// passOn writes a report to every member that ledgers have joined for, before
+// it is answered.
+func (l *leader) passOn(m *machine, current, changed bool, now time.Duration) {
+	whole := changed || now-m.toldAt > toldEvery
+	if current && whole {
+		m.toldAt = now
+	}
+	for _, s := range l.listeners {
+		l.tell(s, m, current, whole, now)
+	}
+	m.cachedAnew = false
+}
+
+// tell writes what is new of a machine to one member. The first that a stream
+// hears of a machine is its name and, once that is current, its whole list.
+func (l *leader) tell(s *listener, m *machine, current, whole bool, now time.Duration) {
+	for len(m.told) < len(l.c.peers)+1 {
+		m.told = append(m.told, 0)
+	}
+	out := s.p.gathered(now)
+	fresh := m.told[s.p.index] != s.stream
+	r := &meshpb.Report{Machine: m.index, Session: m.session, Seq: m.seq, Current: current}
+	if fresh {
+		out.Names = append(out.Names, &meshpb.MachineName{Machine: m.index, Name: m.name, Zone: m.zone})
+	}
+	if (fresh && current) || m.cachedAnew {
+		r.Cached, r.Images = true, m.imagesToTell()
+	}
+	if current && !fresh && !whole {
+		r.Same = true
+	} else if current {
+		for i := range m.tasks {
+			if t := &m.tasks[i]; t.job != nil && t.job.ledger != nil && t.job.ledger.from == s.p {
+				r.Tasks = append(r.Tasks, &meshpb.TaskState{Job: t.key.job, Task: t.key.task, Attempt: t.key.attempt,
+					State: uint32(t.state), Why: uint32(t.why)})
+			}
+		}
+		m.told[s.p.index] = s.stream
+	}
+	out.Reports = append(out.Reports, r)
+}
+
+// tellAll writes what every machine last listed to a member whose ledger has
+// just joined.
+func (l *leader) tellAll(p *peer) {
+	now := l.c.now()
+	l.streams++
+	var to *listener
+	for _, s := range l.listeners {
+		if s.p == p {
+			to = s
+		}
+	}
+	if to == nil {
+		to = &listener{p: p}
+		l.listeners = append(l.listeners, to)
+	}
+	to.stream = l.streams
+	for m := range l.machines.all {
+		if m.currentAt > 0 && !m.gone {
+			l.tell(to, m, true, true, now)
+			if len(p.reports.Reports) >= tellChunk {
+				p.flush()
+			}
+		}
+	}
+}
+
+// clearing returns the commands that remove what should not be, or no longer
+// need be, on the machine. They are repeated until the report shows the end.
+func (l *leader) clearing(m *machine) []protocol.Command {
+	if len(m.tasks) == 0 {
+		return nil
+	}
+	all := l.allJoined()
+	var cmds []protocol.Command
+	for i := range m.tasks {
+		if len(cmds) >= maxClearing {
+			break // an answer is limited in size; the rest follows with the next
+		}
+		t := &m.tasks[i]
+		order := m.orders[t.key]
+		over := (t.job == nil && all) || (t.job != nil && t.job.closed)
+		exited := t.state == protocol.TaskExited
+		switch {
+		case exited && (over || (order != nil && order.Reap)):
+			cmds = append(cmds, protocol.Command{Op: protocol.VerbForget, Task: protocol.TaskName(t.key.job, int(t.key.task)), Attempt: t.key.attempt})
+		case !exited && (over || (order != nil && !order.Reap)):
+			grace := 0.0
+			if order != nil && !over {
+				grace = order.GraceS
+			}
+			cmds = append(cmds, protocol.Command{Op: protocol.VerbStop, Task: protocol.TaskName(t.key.job, int(t.key.task)), Attempt: t.key.attempt, GraceS: &grace})
+		}
+	}
+	return cmds
+}
+
+// onOrders takes an owner's wishes to stop or forget copies.
+func (l *leader) onOrders(p *peer, f *meshpb.Orders) {
+	for _, o := range f.Orders {
+		m, j := l.machines.at(o.Machine), l.jobs[o.Job]
+		if m == nil || j == nil || j.ledger == nil || j.ledger.from != p {
+			continue
+		}
+		l.order(m, o)
+	}
+}
+
+func (l *leader) order(m *machine, o *meshpb.Order) {
+	key := taskKey{o.Job, o.Task, o.Attempt}
+	if !m.lists(key) {
+		return
+	}
+	if m.orders == nil {
+		m.orders = make(map[taskKey]*meshpb.Order)
+	}
+	m.orders[key] = o
+}
+
+// finish sends a report's answer with the starts that were picked for it.
+func (l *leader) finish(a *answer) {
+	m := a.m
+	if m.pending == a {
+		m.pending = nil
+	}
+	l.closeOffers(a)
+	a.over = true
+	now := l.c.now()
+	if l.c.leader != l || !l.c.session.mayAct(now) || m.gone {
+		l.returnPicks(a)
+		a.reply(l.c.refusal(503, "not entitled to act at present", 1))
+		return
+	}
+	if m.leaving || now-a.at > answerTime/2 {
+		l.returnPicks(a)
+	}
+	for _, p := range a.picks {
+		j := l.jobs[p.pick.Job]
+		if j == nil || j.closed {
+			continue
+		}
+		a.commands = append(a.commands, protocol.Command{Op: protocol.VerbStart,
+			Task: protocol.TaskName(p.pick.Job, int(p.pick.Task)), Attempt: p.pick.Attempt})
+		m.sent = append(m.sent, placed{key: taskKey{p.pick.Job, p.pick.Task, p.pick.Attempt}, state: protocol.TaskFetching,
+			job: j, since: now})
+		if m.listing {
+			j.listed++
+		}
+		m.free.take(j.spec)
+		m.idleSince = now
+	}
+	m.conn = a.conn
+	a.reply(l.answerWith(a.commands))
+}
+
+func (l *leader) answerWith(cmds []protocol.Command) Response {
+	if cmds == nil {
+		cmds = []protocol.Command{}
+	}
+	return Response{Status: 200, Body: l.c.codec.Encode(protocol.ReportAnswer{Token: l.token, Commands: cmds})}
+}
+
+// giveUp ends an answer that its worker no longer waits for.
+func (l *leader) giveUp(a *answer) {
+	l.closeOffers(a)
+	a.over = true
+	a.m.pending = nil
+	l.returnPicks(a)
+	a.reply(l.c.refusal(503, "superseded", 1))
+}
+
+// expireAnswers sends the answers that have waited long enough for picks.
+func (l *leader) expireAnswers(now time.Duration) {
+	kept := l.answers[:0]
+	for _, a := range l.answers {
+		if !a.over && now-a.at > l.c.tune.OfferWait {
+			l.finish(a)
+		}
+		if !a.over {
+			kept = append(kept, a)
+		}
+	}
+	clear(l.answers[len(kept):])
+	l.answers = kept
+}
+
+// returnPicks tells owners that their picks were not sent and never will be.
+func (l *leader) returnPicks(a *answer) {
+	for len(a.picks) > 0 {
+		to := a.picks[0].from.from
+		var picks []*meshpb.Pick
+		kept := a.picks[:0]
+		for _, p := range a.picks {
+			if p.from.from == to {
+				picks = append(picks, p.pick)
+			} else {
+				kept = append(kept, p)
+			}
+		}
+		a.picks = kept
+		l.unplace(to, picks)
+	}
+}
+
+func (l *leader) unplace(p *peer, picks []*meshpb.Pick) {
+	if len(picks) > 0 && p != nil {
+		p.send(&meshpb.Frame{Body: &meshpb.Frame_Unplaced{Unplaced: &meshpb.Unplaced{Picks: picks}}})
+	}
+}
+
+// goneForGood ends a machine that the cloud says is no more.
+func (l *leader) goneForGood(m *machine) {
+	if m.gone {
+		return
+	}
+	m.gone = true
+	if m.pending != nil {
+		l.giveUp(m.pending)
+	}
+	l.unlist(m)
+	m.tasks, m.sent, m.orders, m.images, m.heldFor = nil, nil, nil, nil, nil
+	m.free = room{}
+	m.heard = l.c.now()
+	l.shade(m, m.heard)
+	f := &meshpb.Frame{Body: &meshpb.Frame_Gone{Gone: &meshpb.Gone{Name: m.name}}}
+	for _, s := range l.listeners {
+		s.p.send(f)
+	}
+}
+
+// noteEnd draws conclusions from a task that has just ended on a machine.
+func (l *leader) noteEnd(m *machine, p, old *placed, now time.Duration) {
+	if p.job == nil {
+		return
+	}
+	switch p.why {
+	case protocol.WhyDone:
+		m.errors = nil
+		p.job.succeeded = true
+		p.job.errorsOn = nil
+		if old.state == protocol.TaskRunning && p.job.spec != nil {
+			l.learn(p.job.spec, now-old.since)
+		}
+	case protocol.WhyError:
+		if m.errors == nil {
+			m.errors = make(map[string]int)
+		}
+		m.errors[p.key.job]++
+		if p.job.errorsOn == nil {
+			p.job.errorsOn = make(map[string]bool)
+		}
+		p.job.errorsOn[m.name] = true
+		l.judgeSick(m)
+	}
+}
+
+// judgeSick sets a machine aside that fails the tasks of several jobs, or
+// again and again those of one that does well elsewhere. A job that fails
+// everywhere does not count against any machine.
+func (l *leader) judgeSick(m *machine) {
+	jobs, errs := 0, 0
+	for id, n := range m.errors {
+		if j := l.jobs[id]; j != nil && !j.succeeded && len(j.errorsOn) >= 3 {
+			continue
+		}
+		jobs++
+		if j := l.jobs[id]; j != nil && j.succeeded {
+			errs += n
+		}
+	}
+	if !m.sick && (jobs >= 2 || errs >= sickErrors) {
+		m.sick = true
+		l.c.log.Info().Str("machine", m.name).Int("errors", errs).Msg("machine fails its tasks, set aside")
+	}
+}
--- a/internal/coordination/roster.go
+++ b/internal/coordination/roster.go
@@ -13,43 +13,36 @@
 // heard of before recovered tasks may be placed, without waiting for the
 // cloud's list, which lags, or for a lease time.
 
-const namesPerRecord = 100
+const (
+	namesPerRecord = 100
+	nameEvery      = 250 * time.Millisecond // new machines gather for one record
+)
 
-// recordMachines names the machines that report and have not been named yet.
+// nameMachines names the machines that report and have not been named yet.
 // One that has not come up holds nothing, and is nothing to wait for.
-func (l *leader) recordMachines() {
-	if !l.c.session.mayAct(l.c.now()) {
+func (l *leader) nameMachines(now time.Duration) {
+	if l.naming || len(l.unnamed) == 0 || now < l.nextName || !l.c.session.mayAct(now) {
 		return
 	}
-	var names []string
-	for name, m := range l.machines {
-		if m.record == "" && !m.recording && !m.gone && m.reported {
-			names = append(names, name)
-		}
+	n := min(len(l.unnamed), namesPerRecord)
+	batch := append([]*machine(nil), l.unnamed[:n]...)
+	l.unnamed = append(l.unnamed[:0], l.unnamed[n:]...)
+	names := make([]string, 0, n)
+	for _, m := range batch {
+		names = append(names, m.name)
 	}
 	sort.Strings(names)
-	for len(names) > 0 {
-		n := min(len(names), namesPerRecord)
-		l.writeRecord(names[:n])
-		names = names[n:]
-	}
-}
-
-func (l *leader) writeRecord(names []string) {
-	for _, name := range names {
-		l.machines[name].recording = true
-	}
+	l.naming, l.nextName = true, now+nameEvery
 	l.records++
 	l.c.store.RecordMachines(l.token, l.records, names, func(key string, r bookkeeping.TxnResult) {
 		if l.c.leader != l {
 			return
 		}
-		for _, name := range names {
-			if m := l.machines[name]; m != nil {
-				m.recording = false
-				if r.Outcome == bookkeeping.Applied {
-					m.record = key
-				}
+		l.naming = false
+		for _, m := range batch {
+			m.recording = false // its next report asks again if need be
+			if r.Outcome == bookkeeping.Applied {
+				m.record = key
 			}
 		}
 	})
@@ -69,65 +62,75 @@
 			})
 			return
 		}
+		now := l.c.now()
 		for key, names := range records {
 			for _, name := range names {
-				m := l.machines[name]
-				if m == nil {
-					m = &machine{name: name}
-					l.machines[name] = m
+				if m := l.machines.add(name); m != nil {
+					m.record = key
+					l.shade(m, now)
 				}
-				m.record = key
 			}
 		}
 		l.roster = true
 	})
 }
 
-// forgetMachines drops what is long gone, and brings the records of which
-// machines are gone up to date, so that the next leader waits for none of
+// forgetMachines drops what is long gone, and brings one record at a time up
+// to date where machines are gone, so that the next leader waits for none of
 // them.
 func (l *leader) forgetMachines(now time.Duration) {
-	for name, m := range l.machines {
-		if m.gone && m.record == "" && now-m.heard > tombstoneFor {
-			delete(l.machines, name)
+	left := make(map[string]int)
+	gone := make(map[string]int)
+	for m := range l.machines.all {
+		switch {
+		case m.gone && m.record == "" && now-m.heard > tombstoneFor:
+			l.machines.remove(m)
+		case m.record != "" && m.gone:
+			gone[m.record]++
+		case m.record != "":
+			left[m.record]++
 		}
 	}
-	left := make(map[string][]string)
-	outdated := make(map[string]bool)
-	for name, m := range l.machines {
-		if m.record == "" {
-			continue
+	if l.rewriting || !l.c.session.mayAct(now) {
+		return
+	}
+	// A record that can be dropped comes first, then the one that names most
+	// machines in vain.
+	worst := ""
+	for key, n := range gone {
+		a, b := left[key] == 0, left[worst] == 0
+		if worst == "" || (a && !b) || (a == b && (n > gone[worst] || (n == gone[worst] && key < worst))) {
+			worst = key
 		}
-		if m.gone {
-			outdated[m.record] = true
-		} else {
-			left[m.record] = append(left[m.record], name)
+	}
+	if worst != "" {
+		l.rewriteRecord(worst)
+	}
+}
+
+func (l *leader) rewriteRecord(key string) {
+	var names []string
+	var gone []*machine
+	for m := range l.machines.all {
+		if m.record == key && m.gone {
+			gone = append(gone, m)
+		} else if m.record == key {
+			names = append(names, m.name)
 		}
 	}
-	for key := range outdated {
-		if l.rewriting[key] {
-			continue
+	sort.Strings(names)
+	l.rewriting = true
+	l.c.store.RewriteRecord(l.token, key, names, func(r bookkeeping.TxnResult) {
+		if l.c.leader != l {
+			return
 		}
-		l.rewriting[key] = true
-		l.c.store.RewriteRecord(l.token, key, left[key], func(r bookkeeping.TxnResult) {
-			if l.c.leader != l {
-				return
+		l.rewriting = false
+		for _, m := range gone {
+			if r.Outcome == bookkeeping.Applied {
+				m.record = ""
 			}
-			delete(l.rewriting, key)
-			if r.Outcome != bookkeeping.Applied {
-				return
-			}
-			kept := make(map[string]bool, len(left[key]))
-			for _, name := range left[key] {
-				kept[name] = true
-			}
-			for name, m := range l.machines {
-				if m.record == key && !kept[name] {
-					m.record = ""
-				}
-			}
-		})
-	}
+		}
+	})
 }
 
 // vanished tells whether a machine that only an old record names is not to be
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -279,7 +279,7 @@
 		case k.present && mine:
 			if p := s.c.peers[k.holder.Member]; p != nil && p.link != nil && now >= s.handoverAt {
 				s.handoverAt = now + handoverEvery
-				p.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Handover{Handover: &meshpb.Handover{Ledger: name}}})
+				p.send(&meshpb.Frame{Body: &meshpb.Frame_Handover{Handover: &meshpb.Handover{Ledger: name}}})
 			}
 		case !k.present && mine:
 			s.claim(name, 0)
--- a/internal/coordination/stream.go
+++ b/internal/coordination/stream.go
@@ -13,28 +13,35 @@
 // may conclude from it. It lasts as long as its link and its leader's token;
 // a new one starts every clock anew.
 type stream struct {
-	c     *Core
-	from  *peer
-	token uint64
-	heard map[int32]*streamMachine
-	start map[string]int64 // per ledger, on the leader's clock
+	c       *Core
+	from    *peer
+	token   uint64
+	names   []int32          // this process's index of a machine, by the leader's
+	heard   []streamMachine  // by this process's index
+	start   map[string]int64 // per ledger, on the leader's clock
+	orders  []*meshpb.Order  // gathered for the leader
+	sweepAt time.Duration
 }
 
+// streamMachine is what this process has heard of a machine. Zone and images
+// outlast the stream, in case this process leads next.
 type streamMachine struct {
-	zone string
-	at   int64 // on the leader's clock, of the last report on this stream
-	// images are what the leader last knew to be cached there.
+	named  bool   // on this stream
+	remote uint32 // the leader's index
+	zone   string
+	at     int64 // on the leader's clock, of the last report on this stream
+	seen   time.Duration
 	images []*meshpb.Image
 }
 
+const nobody = int32(-1)
+
 func (s *stream) reset() {
 	s.from, s.token = nil, 0
 	s.start = make(map[string]int64)
-	if s.heard == nil {
-		s.heard = make(map[int32]*streamMachine)
-	}
-	for _, m := range s.heard {
-		m.at = 0
+	s.names, s.orders = nil, nil
+	for i := range s.heard {
+		s.heard[i].at, s.heard[i].named = 0, false
 	}
 	if s.c == nil {
 		return
@@ -44,13 +51,37 @@
 	}
 }
 
-func (s *stream) zoneOf(m int32) string {
-	if h := s.heard[m]; h != nil {
-		return h.zone
+// machine returns what is known of a machine by this process's index.
+func (s *stream) machine(m int32) *streamMachine {
+	for int(m) >= len(s.heard) {
+		s.heard = append(s.heard, streamMachine{})
+	}
+	return &s.heard[m]
+}
+
+// local returns this process's index for the leader's.
+func (s *stream) local(remote uint32) int32 {
+	if int64(remote) >= int64(len(s.names)) {
+		return nobody
+	}
+	return s.names[remote]
+}
+
+func (s *stream) name(n *meshpb.MachineName) {
+	if n.Machine >= maxMachines {
+		return
 	}
-	return ""
+	for int(n.Machine) >= len(s.names) {
+		s.names = append(s.names, nobody)
+	}
+	m := s.c.owner.machines.index(n.Name)
+	s.names[n.Machine] = m
+	h := s.machine(m)
+	h.named, h.remote, h.zone = true, n.Machine, n.Zone
 }
 
+func (s *stream) zoneOf(m int32) string { return s.machine(m).zone }
+
 // joinedAll tells whether the leader has confirmed every ledger of this
 // process that is ready.
 func (s *stream) joinedAll() bool {
@@ -65,9 +96,7 @@
 // imagesOf is what the last leader knew to be cached on a machine.
 func (s *stream) imagesOf(name string) []*meshpb.Image {
 	if i, ok := s.c.owner.machines.byName[name]; ok {
-		if h := s.heard[i]; h != nil {
-			return h.images
-		}
+		return s.machine(i).images
 	}
 	return nil
 }
@@ -113,7 +142,7 @@
 	l.joined = true
 	for {
 		n := min(len(jobs), joinChunk)
-		s.from.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Join{Join: &meshpb.Join{
+		s.from.send(&meshpb.Frame{Body: &meshpb.Frame_Join{Join: &meshpb.Join{
 			Ledger: l.name, Stamp: l.book.Stamp(), Token: s.token, Jobs: jobs[:n], More: n < len(jobs)}}})
 		jobs = jobs[n:]
 		if len(jobs) == 0 {
@@ -128,25 +157,44 @@
 	}
 }
 
-// onReport takes what the leader passes on of a machine.
-func (s *stream) onReport(p *peer, r *meshpb.Report) {
+// onReports takes what the leader passes on of machines.
+func (s *stream) onReports(p *peer, f *meshpb.Reports) {
 	if p != s.from {
 		return
 	}
-	m := s.c.owner.machines.index(r.Machine)
-	h := s.heard[m]
-	if h == nil {
-		h = &streamMachine{}
-		s.heard[m] = h
+	for _, n := range f.Names {
+		s.name(n)
 	}
-	h.zone, h.at, h.images = r.Zone, r.ClockUs, r.Images
-	var orders []*meshpb.Order
-	s.c.owner.reported(m, r, &orders)
-	if len(orders) > 0 {
-		p.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Orders{Orders: &meshpb.Orders{Orders: orders}}})
+	now := s.c.now()
+	for _, r := range f.Reports {
+		m := s.local(r.Machine)
+		if m == nobody {
+			continue
+		}
+		h := s.machine(m)
+		h.at, h.seen = f.ClockUs, now
+		if r.Cached {
+			h.images = r.Images
+		}
+		s.c.owner.reported(m, r)
+	}
+}
+
+// order asks the leader to stop or forget a copy.
+func (s *stream) order(m int32, job string, task uint32, attempt uint64, reap bool) {
+	if h := s.machine(m); s.from != nil && h.named {
+		s.orders = append(s.orders, &meshpb.Order{Machine: h.remote, Job: job, Task: task, Attempt: attempt, Reap: reap})
 	}
 }
 
+// flushOrders sends what has gathered.
+func (s *stream) flushOrders() {
+	if len(s.orders) > 0 && s.from != nil {
+		s.from.send(&meshpb.Frame{Body: &meshpb.Frame_Orders{Orders: &meshpb.Orders{Orders: s.orders}}})
+	}
+	s.orders = nil
+}
+
 // onBeat judges losses: a beat tells that every report which the leader
 // answered before it has been passed on already. A machine whose last report
 // on this stream lies more than a lease before it has lost its lease.
@@ -164,9 +212,9 @@
 	}
 	span := s.c.leaseSpan().Microseconds()
 	for m, refs := range s.c.owner.held {
-		last := int64(0)
-		if h := s.heard[m]; h != nil {
-			last = h.at
+		last := s.machine(m).at
+		if b.ClockUs-last <= span {
+			continue
 		}
 		var gone []taskRef
 		for _, r := range refs {
@@ -182,15 +230,38 @@
 			s.c.log.Info().Str("machine", s.c.owner.machines.names[m]).Int("tasks", len(gone)).Msg("machine lost, its lease is over")
 		}
 	}
+	s.sweep()
+}
+
+// sweep forgets machines that only earlier leaders told of.
+func (s *stream) sweep() {
+	now := s.c.now()
+	if now < s.sweepAt {
+		return
+	}
+	s.sweepAt = now + time.Minute
+	for name, m := range s.c.owner.machines.byName {
+		if h := s.machine(m); !h.named && now-h.seen > tombstoneFor && len(s.c.owner.held[m]) == 0 {
+			*h = streamMachine{}
+			s.c.owner.machines.release(name)
+		}
+	}
 }
 
 func (s *stream) onGone(p *peer, g *meshpb.Gone) {
-	if p == s.from {
-		m := s.c.owner.machines.index(g.Machine)
-		s.c.owner.machineGone(m)
-		delete(s.heard, m)
-		s.c.owner.machines.release(g.Machine)
+	if p != s.from {
+		return
 	}
+	m, ok := s.c.owner.machines.byName[g.Name]
+	if !ok {
+		return
+	}
+	s.c.owner.machineGone(m)
+	if h := s.machine(m); h.named {
+		s.names[h.remote] = nobody
+	}
+	*s.machine(m) = streamMachine{}
+	s.c.owner.machines.release(g.Name)
 }
 
 func (s *stream) onSettled(p *peer, st *meshpb.Settled) {
@@ -216,20 +287,17 @@
 	}
 	c := s.c
 	picks := &meshpb.Picks{Id: f.Id}
-	may := c.session.mayAct(c.now())
-	m := c.owner.machines.index(f.Machine)
-	if s.heard[m] == nil {
-		s.heard[m] = &streamMachine{zone: f.Zone}
-	}
+	m := s.local(f.Machine)
+	may := m != nobody && c.session.mayAct(c.now())
 	for _, it := range f.Items {
 		j := c.owner.jobs[it.Job]
 		if j == nil || !may {
 			continue
 		}
-		picks.Picks = append(picks.Picks, c.owner.pick(j, int(it.Count), m, f.Zone, f.Session, f.Seq)...)
+		picks.Picks = append(picks.Picks, c.owner.pick(j, int(it.Count), m, s.zoneOf(m), f.Session, f.Seq)...)
 		picks.Jobs = append(picks.Jobs, j.demand(false))
 	}
-	p.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Picks{Picks: picks}})
+	p.send(&meshpb.Frame{Body: &meshpb.Frame_Picks{Picks: picks}})
 }
 
 // silenceAfter is how long a machine may say nothing before it gets no more
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -134,7 +134,7 @@
 		}
 	case path == "/checkin":
 		if need("POST") {
-			c.checkin(req.Body, reply)
+			c.checkin(req, reply)
 		}
 	case path == "/submissions":
 		if need("POST") {
@@ -387,15 +387,17 @@
 	}
 	u.askSeq++
 	u.asks[u.askSeq] = &ask{to: p, at: u.c.now(), done: done}
-	p.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Ask{Ask: &meshpb.Ask{Id: u.askSeq, Job: id, Abort: abort}}})
+	p.send(&meshpb.Frame{Body: &meshpb.Frame_Ask{Ask: &meshpb.Ask{Id: u.askSeq, Job: id, Abort: abort}}})
 }
 
 // onAsk answers another member from what this one owns.
 func (u *users) onAsk(p *peer, f *meshpb.Ask) {
 	link := p.link
 	answer := func(a *meshpb.Answer) {
-		a.Id = f.Id
-		link.Send(&meshpb.Frame{Body: &meshpb.Frame_Answer{Answer: a}})
+		if p.link == link { // on another stream the number may be another question's
+			a.Id = f.Id
+			p.send(&meshpb.Frame{Body: &meshpb.Frame_Answer{Answer: a}})
+		}
 	}
 	if e, ok := u.finals[f.Job]; ok {
 		done := 0
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -215,6 +215,7 @@
 	Method string
 	Path   string
 	Body   []byte
+	Conn   uint64 // numbers the connection, from 1
 }
 
 // Response is what it answers with. RetryAfterS is sent when it is above 0.
