--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -80,6 +80,7 @@
 	users  users
 	leader *leader // nil unless this process holds the leader key
 	stream stream
+	relay  relay
 	fleet  fleet // what the cloud says; every node keeps the catalogue
 
 	lastBeat  time.Duration
@@ -91,8 +92,11 @@
 type peer struct {
 	member      string
 	index       int             // dense; this member's own is 0
+	ups         uint64          // streams so far
 	link        Link            // nil while down
 	reports     *meshpb.Reports // gathered for it, see flush
+	checkins    []*meshpb.Checkin
+	answers     []*meshpb.CheckinAnswer
 	askedUptime time.Duration
 	younger     bool // its process surely started after this one did
 	stateOK     bool
@@ -116,14 +120,28 @@
 	return p.reports
 }
 
+// flush sends what has gathered.
 func (p *peer) flush() {
-	r := p.reports
-	p.reports = nil
-	if r != nil && p.link != nil {
+	r, k, a := p.reports, p.checkins, p.answers
+	p.reports, p.checkins, p.answers = nil, nil, nil
+	if p.link == nil {
+		return
+	}
+	if r != nil {
 		p.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Reports{Reports: r}})
 	}
+	for ; len(k) > 0; k = k[min(len(k), checkinChunk):] {
+		p.link.Send(&meshpb.Frame{Body: &meshpb.Frame_Checkins{Checkins: &meshpb.Checkins{Checkins: k[:min(len(k), checkinChunk)]}}})
+	}
+	for ; len(a) > 0; a = a[min(len(a), checkinChunk):] {
+		p.link.Send(&meshpb.Frame{Body: &meshpb.Frame_CheckinAnswers{CheckinAnswers: &meshpb.CheckinAnswers{Answers: a[:min(len(a), checkinChunk)]}}})
+	}
 }
 
+// checkinChunk is how many reports or answers go into one frame, so that it
+// stays within its size whatever they are.
+const checkinChunk = 12
+
 type localFrame struct {
 	f *meshpb.Frame
 }
@@ -162,6 +180,7 @@
 	c.self = &peer{member: cfg.Member, link: localLink{c}, stateOK: true}
 	c.owner.init(c)
 	c.users.init(c)
+	c.relay.init(c)
 	c.stream.c = c
 	c.stream.reset()
 	c.fleet.init(c)
@@ -217,6 +236,7 @@
 	}
 	c.owner.tick(now)
 	c.users.tick(now)
+	c.relay.tick(now)
 	c.fleet.tick(now)
 	if c.leader != nil {
 		c.leader.tick(now)
@@ -226,7 +246,8 @@
 // beat tells every member that this one lives and, from a leader that may
 // act, up to when all its reports have been passed on.
 func (c *Core) beat(now time.Duration) {
-	b := &meshpb.Beat{StateOk: c.session.leaseHolds(now)}
+	c.relay.balance(now)
+	b := &meshpb.Beat{StateOk: c.session.leaseHolds(now), Load: c.relay.load()}
 	if c.leader != nil && c.session.mayAct(now) {
 		b.Token, b.ClockUs, b.LeaderOk = c.leader.token, now.Microseconds(), true
 	}
@@ -247,7 +268,9 @@
 	if p.link != nil {
 		c.LinkDown(p.link)
 	}
-	p.link, p.reports, p.askedUptime, p.younger = l, nil, c.now(), false
+	p.ups++
+	p.link, p.reports, p.checkins, p.answers = l, nil, nil, nil
+	p.askedUptime, p.younger = c.now(), false
 	p.send(&meshpb.Frame{Body: &meshpb.Frame_UptimeAsk{UptimeAsk: &meshpb.UptimeAsk{}}})
 	c.byLink[l] = p
 	c.stream.join()
@@ -260,7 +283,8 @@
 		return
 	}
 	delete(c.byLink, l)
-	p.link, p.reports, p.stateOK, p.younger = nil, nil, false, false
+	p.link, p.reports, p.checkins, p.answers = nil, nil, nil, nil
+	p.stateOK, p.younger = false, false
 	if c.leader != nil {
 		c.leader.peerGone(p)
 	}
@@ -268,6 +292,7 @@
 		c.stream.reset()
 	}
 	c.users.peerDown(p)
+	c.relay.peerDown(p)
 }
 
 // LinkFrame takes one frame of a stream.
@@ -281,6 +306,9 @@
 	switch b := f.Body.(type) {
 	case *meshpb.Frame_Beat:
 		p.stateOK = b.Beat.StateOk
+		if p != c.self {
+			c.relay.peerLoad[p] = b.Beat.Load
+		}
 		if b.Beat.LeaderOk {
 			c.stream.onBeat(p, b.Beat)
 		}
@@ -326,6 +354,10 @@
 		p.younger = time.Duration(b.Uptime.Us)*time.Microsecond+promiseDrift < p.askedUptime-c.started
 	case *meshpb.Frame_PromiseAsk:
 		c.session.onPromiseAsk(p, b.PromiseAsk)
+	case *meshpb.Frame_Checkins:
+		c.onCheckins(p, b.Checkins)
+	case *meshpb.Frame_CheckinAnswers:
+		c.relay.onAnswers(p, b.CheckinAnswers)
 	case *meshpb.Frame_Promise:
 		c.session.onPromise(p, b.Promise)
 	}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -32,35 +32,6 @@
 	pick *meshpb.Pick
 }
 
-// checkin handles a worker's report.
-func (c *Core) checkin(req *Request, reply func(Response)) {
-	var w protocol.WireReport
-	if err := c.codec.Decode(req.Body, &w); err != nil {
-		reply(c.refusal(400, err.Error(), 0))
-		return
-	}
-	r, err := w.Check()
-	if err != nil {
-		reply(c.refusal(400, err.Error(), 0))
-		return
-	}
-	now := c.now()
-	l := c.leader
-	if l == nil {
-		if to := c.session.leaderMember(); to != "" && to != c.cfg.Member {
-			reply(Response{Status: 421, Body: c.codec.Encode(protocol.Redirect{ReportTo: to})})
-			return
-		}
-		reply(c.refusal(503, "no leader is known", 1))
-		return
-	}
-	if !c.session.mayAct(now) || r.Token > l.token {
-		reply(c.refusal(503, "not entitled to act at present", 1))
-		return
-	}
-	l.onReport(r, req.Conn, now, reply)
-}
-
 func (l *leader) onReport(r *protocol.Report, conn uint64, now time.Duration, reply func(Response)) {
 	m := l.machines.add(r.Machine)
 	switch {
