Finished tasks of many jobs share records; what users wait for goes first

Each job's finished tasks were a record of their own, so that writes filled the member's share of the rate, and reads and new jobs stood in line behind them.

Now records are shared by all jobs of a ledger, requests have classes, and a poll asks the job's owner before the state service. Ruled out: too little rate (16 writes a second of 30).

--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -21,9 +21,13 @@
 	fleetPrefix  = "fleet/"
 )
 
-// chunkTasks is how many tasks one record of finished tasks covers: about a
-// kilobyte and a half in the longest form.
-const chunkTasks = 8192
+const (
+	// chunkTasks is how many tasks one bit set of finished tasks covers: about
+	// a kilobyte and a half in the longest form.
+	chunkTasks = 8192
+	// chunkRoom is what a bit set is counted as besides its bits.
+	chunkRoom = 64
+)
 
 // LedgerKey is the key that names a ledger's holder.
 func LedgerKey(ledger string) string { return ledgerPrefix + ledger }
@@ -88,6 +92,8 @@
 	settling bool
 	waiting  []func() // operations to run once the ledger is settled
 	chunks   map[chunkKey]*chunk
+	pages    []*page
+	lastPage int
 }
 
 type chunkKey struct {
@@ -95,12 +101,28 @@
 	n   int
 }
 
+// chunk is the finished tasks of a part of a job.
 type chunk struct {
 	bits    []byte
+	page    *page
+	room    int      // that it takes in the record at the most
+	waiters []func() // of the next write
+	over    bool     // its job has ended
+}
+
+// page is one record with the finished tasks of many jobs, so that the writes
+// do not grow with the jobs.
+type page struct {
+	n       int
+	chunks  map[chunkKey]*chunk
+	room    int // that its chunks take at the most
 	dirty   bool
 	writing bool
-	closed  bool
-	waiters []func()
+}
+
+// roomFor is what the n-th chunk of a job takes in a record at the most.
+func roomFor(j *protocol.Job, n int) int {
+	return (min(j.Tasks-n*chunkTasks, chunkTasks)+7)/8*4/3 + chunkRoom
 }
 
 // NewLedger wraps a ledger key that this process has just taken with the
@@ -133,22 +155,22 @@
 // write runs a conditional transaction until its outcome is certain. The
 // result is Applied, Conflict (on a key other than the ledger's), Refused if
 // retry is false, or Invalid.
-func (l *Ledger) write(t protocol.Txn, urgent, retry bool, done func(TxnResult)) {
+func (l *Ledger) write(t protocol.Txn, class Class, until time.Duration, retry bool, done func(TxnResult)) {
 	if l.lost {
 		return
 	}
 	if l.settling {
-		l.waiting = append(l.waiting, func() { l.write(t, urgent, retry, done) })
+		l.waiting = append(l.waiting, func() { l.write(t, class, until, retry, done) })
 		return
 	}
 	full := t
 	full.If = append([]protocol.Condition{{Key: l.key, Stamp: l.stamp}}, t.If...)
 	sent := l.stamp
-	l.store.Txn(urgent, full, func(r TxnResult) {
+	l.store.txnUntil(class, until, full, func(r TxnResult) {
 		if l.lost {
 			return
 		}
-		again := func() { l.write(t, urgent, retry, done) }
+		again := func() { l.write(t, class, until, retry, done) }
 		switch {
 		case r.Outcome == Unknown:
 			l.waiting = append(l.waiting, again)
@@ -189,7 +211,7 @@
 		If:   []protocol.Condition{{Key: l.key, Stamp: l.stamp}},
 		Then: []protocol.Change{{Put: l.key, Value: l.store.codec.Encode(l.me), Lease: l.lease}},
 	}
-	l.store.Txn(true, t, func(r TxnResult) {
+	l.store.Txn(Urgent, t, func(r TxnResult) {
 		if l.lost {
 			return
 		}
@@ -217,7 +239,7 @@
 }
 
 func (l *Ledger) inspectNow(unknown bool) {
-	l.store.Get(true, l.key, func(p protocol.Pair, found, ok bool) {
+	l.store.Get(Urgent, l.key, func(p protocol.Pair, found, ok bool) {
 		if l.lost {
 			return
 		}
@@ -257,11 +279,12 @@
 func (l *Ledger) Release(done func(TxnResult)) {
 	t := protocol.Txn{If: []protocol.Condition{{Key: l.key, Stamp: l.stamp}}, Then: []protocol.Change{{Delete: l.key}}}
 	l.Close()
-	l.store.Txn(true, t, done)
+	l.store.Txn(Urgent, t, done)
 }
 
-// Create writes a new job before its user is told that it is accepted.
-func (l *Ledger) Create(j *protocol.Job, atMs int64, nonce string, done func(CreateResult)) {
+// Create writes a new job before its user is told that it is accepted. It is
+// not sent any more once until has passed.
+func (l *Ledger) Create(j *protocol.Job, atMs int64, nonce string, until time.Duration, done func(CreateResult)) {
 	rec := JobRecord{Ledger: l.name, Nonce: nonce, Tasks: j.Tasks}
 	key := JobKey(j.ID)
 	t := protocol.Txn{
@@ -271,7 +294,7 @@
 			{Put: ownPrefix + l.name + "/" + j.ID, Value: l.store.codec.Encode(OwnRecord{Job: *j, AtMs: atMs})},
 		},
 	}
-	l.write(t, false, false, func(r TxnResult) {
+	l.write(t, Foreground, until, false, func(r TxnResult) {
 		switch r.Outcome {
 		case Applied:
 			done(Created)
@@ -289,7 +312,7 @@
 	if l.lost {
 		return
 	}
-	l.store.Get(false, key, func(p protocol.Pair, found, ok bool) {
+	l.store.Get(Read, key, func(p protocol.Pair, found, ok bool) {
 		if l.lost {
 			return
 		}
@@ -314,102 +337,159 @@
 		{Put: JobKey(j.ID), Value: l.store.codec.Encode(JobRecord{Ledger: l.name, Nonce: nonce, Status: status, Tasks: j.Tasks})},
 		{Delete: ownPrefix + l.name + "/" + j.ID},
 	}}
-	var drops []protocol.Change
 	for n := 0; n*chunkTasks < j.Tasks; n++ {
-		if k := (chunkKey{j.ID, n}); l.chunks[k] != nil {
-			l.chunks[k].closed = true
-			l.chunks[k].waiters = nil
-			delete(l.chunks, k)
-			drops = append(drops, protocol.Change{Delete: l.doneKey(k)})
-		}
-	}
-	if free := l.store.limits.TxnOps - len(t.Then); len(drops) <= free {
-		t.Then = append(t.Then, drops...)
-		drops = nil
+		l.dropChunk(chunkKey{j.ID, n})
 	}
-	l.write(t, true, true, func(r TxnResult) {
-		if r.Outcome != Applied {
-			return
-		}
-		for len(drops) > 0 {
-			n := min(len(drops), l.store.limits.TxnOps)
-			l.write(protocol.Txn{Then: drops[:n]}, false, true, func(TxnResult) {})
-			drops = drops[n:]
+	l.write(t, Urgent, 0, true, func(r TxnResult) {
+		if r.Outcome == Applied {
+			done()
 		}
-		done()
 	})
 }
 
-func (l *Ledger) doneKey(k chunkKey) string {
-	return donePrefix + l.name + "/" + k.job + "/" + strconv.Itoa(k.n)
+// dropChunk forgets the finished tasks of a job that is over. Its page says so
+// with its next write; until then the record names a job that nobody recovers.
+func (l *Ledger) dropChunk(k chunkKey) {
+	c := l.chunks[k]
+	if c == nil {
+		return
+	}
+	delete(l.chunks, k)
+	c.over, c.waiters = true, nil
+	p := c.page
+	delete(p.chunks, k)
+	p.room -= c.room
+	if len(p.chunks) == 0 {
+		p.dirty = true
+	}
 }
 
+func (l *Ledger) pageKey(p *page) string { return donePrefix + l.name + "/" + strconv.Itoa(p.n) }
+
 // TaskDone notes a finished task; done is called once it is written. Notes
 // are gathered and written together, see Flush.
-func (l *Ledger) TaskDone(job string, task int, done func()) {
-	k := chunkKey{job, task / chunkTasks}
+func (l *Ledger) TaskDone(j *protocol.Job, task int, done func()) {
+	k := chunkKey{j.ID, task / chunkTasks}
 	c := l.chunks[k]
 	if c == nil {
-		c = &chunk{}
+		c = &chunk{room: roomFor(j, k.n)}
 		l.chunks[k] = c
+		l.place(k, c)
 	}
 	c.bits = setBit(c.bits, task%chunkTasks)
-	c.dirty = true
+	c.page.dirty = true
 	c.waiters = append(c.waiters, done)
 }
 
-// Flush writes what has gathered, as many records to a transaction as fit.
+// place puts a chunk on a page that has room for it.
+func (l *Ledger) place(k chunkKey, c *chunk) {
+	for _, p := range l.pages {
+		if len(p.chunks) == 0 || p.room+c.room <= l.store.limits.ValueBytes*3/4 {
+			c.page = p
+			break
+		}
+	}
+	if c.page == nil {
+		l.lastPage++
+		c.page = &page{n: l.lastPage, chunks: make(map[chunkKey]*chunk)}
+		l.pages = append(l.pages, c.page)
+	}
+	c.page.chunks[k] = c
+	c.page.room += c.room
+}
+
+// Flush writes the pages that have changed, as many to a transaction as fit.
 func (l *Ledger) Flush() {
 	if l.lost || l.settling {
 		return
 	}
-	var batch []*chunk
+	var batch []*page
 	var t protocol.Txn
+	size := 0
 	send := func() {
-		if len(batch) == 0 {
-			return
+		if len(batch) > 0 {
+			l.writePages(t, batch)
 		}
-		l.writeChunks(t, batch)
-		batch, t = nil, protocol.Txn{}
+		batch, t, size = nil, protocol.Txn{}, 0
 	}
-	for k, c := range l.chunks {
-		if !c.dirty || c.writing {
+	for _, p := range l.pages {
+		if !p.dirty || p.writing {
 			continue
 		}
-		t.Then = append(t.Then, protocol.Change{Put: l.doneKey(k),
-			Value: l.store.codec.Encode(base64.StdEncoding.EncodeToString(c.bits))})
-		batch = append(batch, c)
-		if len(batch) >= l.store.limits.TxnOps {
+		if len(batch) >= l.store.limits.TxnOps || size+l.store.limits.ValueBytes > maxTxnBytes {
 			send()
 		}
+		change := protocol.Change{Delete: l.pageKey(p)}
+		if len(p.chunks) > 0 {
+			change = protocol.Change{Put: l.pageKey(p), Value: l.store.codec.Encode(p.record())}
+		}
+		t.Then = append(t.Then, change)
+		batch = append(batch, p)
+		size += len(change.Value)
 	}
 	send()
 }
 
-func (l *Ledger) writeChunks(t protocol.Txn, batch []*chunk) {
-	waiters := make([][]func(), len(batch))
-	for i, c := range batch {
-		c.dirty, c.writing = false, true
-		waiters[i], c.waiters = c.waiters, nil
+// maxTxnBytes is what one transaction takes of the service's 64 KiB, the rest
+// is left to keys and conditions.
+const maxTxnBytes = 48 << 10
+
+// record is a page's value: bit sets by job and number.
+func (p *page) record() map[string]string {
+	out := make(map[string]string, len(p.chunks))
+	for k, c := range p.chunks {
+		out[k.job+"/"+strconv.Itoa(k.n)] = base64.StdEncoding.EncodeToString(c.bits)
 	}
-	l.write(t, false, true, func(r TxnResult) {
-		for i, c := range batch {
-			c.writing = false
-			if c.closed {
-				continue
-			}
-			if r.Outcome != Applied {
-				c.dirty = true
-				c.waiters = append(waiters[i], c.waiters...)
-				continue
+	return out
+}
+
+func (l *Ledger) writePages(t protocol.Txn, batch []*page) {
+	type noted struct {
+		c       *chunk
+		waiters []func()
+	}
+	var all []noted
+	for _, p := range batch {
+		p.dirty, p.writing = false, true
+		for _, c := range p.chunks {
+			if len(c.waiters) > 0 {
+				all = append(all, noted{c, c.waiters})
+				c.waiters = nil
 			}
-			for _, fn := range waiters[i] {
-				fn()
+		}
+	}
+	l.write(t, Background, 0, true, func(r TxnResult) {
+		for _, p := range batch {
+			p.writing = false
+			p.dirty = p.dirty || r.Outcome != Applied
+		}
+		for _, n := range all {
+			switch {
+			case n.c.over:
+			case r.Outcome != Applied:
+				n.c.waiters = append(n.waiters, n.c.waiters...)
+			default:
+				for _, fn := range n.waiters {
+					fn()
+				}
 			}
 		}
+		l.dropEmpty()
 	})
 }
 
+// dropEmpty forgets the pages whose records are gone.
+func (l *Ledger) dropEmpty() {
+	kept := l.pages[:0]
+	for _, p := range l.pages {
+		if len(p.chunks) > 0 || p.dirty || p.writing {
+			kept = append(kept, p)
+		}
+	}
+	clear(l.pages[len(kept):])
+	l.pages = kept
+}
+
 // Recover reads the ledger's unfinished jobs with their finished tasks.
 func (l *Ledger) Recover(done func([]RecoveredJob)) {
 	l.store.List(ownPrefix+l.name+"/", func(items []protocol.Pair, _ uint64, ok bool) {
@@ -429,7 +509,7 @@
 				l.store.After(retryPause, func() { l.retryRecover(done) })
 				return
 			}
-			l.readChunks(jobs, items)
+			l.readPages(jobs, items)
 			done(jobs)
 		})
 	})
@@ -452,28 +532,44 @@
 	return jobs
 }
 
-func (l *Ledger) readChunks(jobs []RecoveredJob, items []protocol.Pair) {
+// readPages takes up the pages that a holder before has left.
+func (l *Ledger) readPages(jobs []RecoveredJob, items []protocol.Pair) {
 	index := make(map[string]int, len(jobs))
 	for i := range jobs {
 		index[jobs[i].Job.ID] = i
 	}
 	for _, it := range items {
-		rest, _ := strings.CutPrefix(it.Key, donePrefix+l.name+"/")
-		id, num, _ := strings.Cut(rest, "/")
+		num, _ := strings.CutPrefix(it.Key, donePrefix+l.name+"/")
 		n, err := strconv.Atoi(num)
-		i, known := index[id]
-		if err != nil || !known {
-			continue // left over from a job that has ended
-		}
-		bits, err := base64.StdEncoding.DecodeString(l.store.codec.Text(it.Value))
-		if err != nil {
+		record, derr := l.store.codec.TextMap(it.Value)
+		if err != nil || derr != nil {
 			continue
 		}
-		l.chunks[chunkKey{id, n}] = &chunk{bits: bits}
-		for b := range len(bits) * 8 {
-			if t := n*chunkTasks + b; bits[b/8]&(1<<(b%8)) != 0 && t < len(jobs[i].Done) {
-				jobs[i].Done[t] = true
-			}
+		p := &page{n: n, chunks: make(map[chunkKey]*chunk)}
+		l.pages = append(l.pages, p)
+		l.lastPage = max(l.lastPage, n)
+		for name, text := range record {
+			l.readChunk(p, name, text, jobs, index)
+		}
+		p.dirty = len(p.chunks) == 0
+	}
+}
+
+func (l *Ledger) readChunk(p *page, name, text string, jobs []RecoveredJob, index map[string]int) {
+	id, num, _ := strings.Cut(name, "/")
+	n, err := strconv.Atoi(num)
+	bits, berr := base64.StdEncoding.DecodeString(text)
+	i, known := index[id]
+	if err != nil || berr != nil || !known {
+		return // left over from a job that has ended
+	}
+	k := chunkKey{id, n}
+	c := &chunk{bits: bits, page: p, room: roomFor(&jobs[i].Job, n)}
+	l.chunks[k], p.chunks[k] = c, c
+	p.room += c.room
+	for b := range len(bits) * 8 {
+		if t := n*chunkTasks + b; bits[b/8]&(1<<(b%8)) != 0 && t < len(jobs[i].Done) {
+			jobs[i].Done[t] = true
 		}
 	}
 }
@@ -485,9 +581,9 @@
 	})
 }
 
-// Job reads a job's record afresh.
-func (s *Store) Job(id string, done func(rec JobRecord, found, ok bool)) {
-	s.Get(false, JobKey(id), func(p protocol.Pair, found, ok bool) {
+// Job reads a job's record afresh, unless that has not begun by the given time.
+func (s *Store) Job(id string, until time.Duration, done func(rec JobRecord, found, ok bool)) {
+	s.getUntil(Read, until, JobKey(id), func(p protocol.Pair, found, ok bool) {
 		var rec JobRecord
 		if found && s.codec.Decode(p.Value, &rec) != nil {
 			done(rec, false, false)
@@ -501,7 +597,7 @@
 // a key that is new, as long as the leader key has the given stamp.
 func (s *Store) RecordMachines(token uint64, n int, names []string, done func(key string, r TxnResult)) {
 	key := fleetPrefix + strconv.FormatUint(token, 10) + "-" + strconv.Itoa(n)
-	s.Txn(false, protocol.Txn{
+	s.Txn(Foreground, protocol.Txn{
 		If:   []protocol.Condition{{Key: LeaderKey, Stamp: token}},
 		Then: []protocol.Change{{Put: key, Value: s.codec.Encode(names)}},
 	}, func(r TxnResult) { done(key, r) })
@@ -514,7 +610,7 @@
 	if len(names) == 0 {
 		change = protocol.Change{Delete: key}
 	}
-	s.Txn(false, protocol.Txn{
+	s.Txn(Background, protocol.Txn{
 		If:   []protocol.Condition{{Key: LeaderKey, Stamp: token}},
 		Then: []protocol.Change{change},
 	}, done)
@@ -534,7 +630,7 @@
 }
 
 // FlushEvery is how long finished tasks gather before they are written.
-const FlushEvery = 150 * time.Millisecond
+const FlushEvery = 300 * time.Millisecond
 
 func setBit(bits []byte, n int) []byte {
 	for len(bits) <= n/8 {
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -34,34 +34,56 @@
 	Now() time.Duration
 }
 
-// Limits holds this process's share of the state service's rates.
+// Limits holds this process's share of the state service's rates, and what it
+// may use of their bursts while the other controllers use little.
 type Limits struct {
-	RPS, WriteRPS float64
-	TxnOps        int
-	Timeout       time.Duration
+	RPS, WriteRPS         float64
+	BurstRPS, BurstWrites float64
+	TxnOps                int
+	ValueBytes            int // of one value
+	Timeout               time.Duration
 }
 
 const (
-	maxQueue   = 512
-	retryPause = 300 * time.Millisecond
+	maxQueue    = 512
+	retryPause  = 300 * time.Millisecond
+	limitedHold = 250 * time.Millisecond // after the service refused a request for its rate
+	reserve     = 0.5                    // of the write burst, which Background leaves to others
 )
 
-// bucket is a token bucket that holds at most a second's worth.
+// Class is how soon a request goes out.
+type Class uint8
+
+// The classes. Urgent ones go out at once, whatever the rates hold, and are
+// made up for by those behind them. Reads wait for no write. Foreground writes
+// are what users wait for; Background ones leave them a part of the burst.
+const (
+	Urgent Class = iota
+	Read
+	Foreground
+	Background
+	classes
+)
+
+// bucket is a token bucket. What it holds at the most is a burst that the
+// service allows to all controllers together: mostly one of them needs it.
 type bucket struct {
-	rate, level float64
-	at          time.Duration
+	rate, burst, level float64
+	at                 time.Duration
 }
 
 func (b *bucket) fill(now time.Duration) {
-	b.level = math.Min(math.Max(b.rate, 1), b.level+b.rate*(now-b.at).Seconds())
+	b.level = math.Min(b.burst, b.level+b.rate*(now-b.at).Seconds())
 	b.at = now
 }
 
 type request struct {
+	class        Class
 	method, path string
 	body         []byte
 	writes       int
 	timeout      time.Duration
+	until        time.Duration // not sent after that; 0: whenever
 	done         func(Result)
 }
 
@@ -72,9 +94,10 @@
 	codec   *protocol.Codec
 	limits  Limits
 	later   func(func())
-	queue   []request
+	queues  [classes][]request
 	reads   bucket
 	writes  bucket
+	held    time.Duration // nothing but urgent requests before
 	failing bool
 	delayed []delayedCall
 }
@@ -88,10 +111,13 @@
 // returned, so that no callback runs inside the call that caused it.
 func NewStore(caller Caller, clock Clock, codec *protocol.Codec, limits Limits, later func(func())) *Store {
 	now := clock.Now()
+	full := func(rate, burst float64) bucket {
+		burst = math.Max(1, math.Max(rate, burst))
+		return bucket{rate: rate, burst: burst, level: burst, at: now}
+	}
 	return &Store{
 		caller: caller, clock: clock, codec: codec, limits: limits, later: later,
-		reads:  bucket{rate: limits.RPS, level: limits.RPS, at: now},
-		writes: bucket{rate: limits.WriteRPS, level: limits.WriteRPS, at: now},
+		reads: full(limits.RPS, limits.BurstRPS), writes: full(limits.WriteRPS, limits.BurstWrites),
 	}
 }
 
@@ -122,41 +148,69 @@
 	now := s.clock.Now()
 	s.reads.fill(now)
 	s.writes.fill(now)
-	for len(s.queue) > 0 {
-		r := s.queue[0]
-		need := math.Min(float64(r.writes), math.Max(s.writes.rate, 1))
-		if s.reads.level < 1 || (r.writes > 0 && s.writes.level < need) {
-			return
+	for class := Read; class < classes; class++ {
+		for len(s.queues[class]) > 0 && now >= s.held {
+			r := s.queues[class][0]
+			if r.until > 0 && now > r.until {
+				// Whoever asked has given up; sending it would only make
+				// those behind it late as well.
+				s.queues[class] = s.queues[class][1:]
+				s.later(func() { r.done(Result{NotSent: true}) })
+				continue
+			}
+			if !s.affordable(&r) {
+				break
+			}
+			s.queues[class] = s.queues[class][1:]
+			s.send(r)
 		}
-		s.queue = s.queue[1:]
-		s.send(r)
 	}
 }
 
+// affordable tells whether the rates allow a request now.
+func (s *Store) affordable(r *request) bool {
+	if s.reads.level < 1 {
+		return false
+	}
+	if r.writes == 0 {
+		return true
+	}
+	need := math.Min(float64(r.writes), s.writes.burst)
+	if r.class == Background {
+		need = math.Min(need+s.writes.burst*reserve, s.writes.burst)
+	}
+	return s.writes.level >= need
+}
+
 func (s *Store) send(r request) {
 	s.reads.level--
 	s.writes.level -= float64(r.writes)
 	s.caller.Call(r.method, r.path, r.body, r.timeout, func(res Result) {
+		if res.Status == 429 && r.class != Urgent {
+			// Surely not executed: it is the next one to go, after a pause.
+			s.held = s.clock.Now() + limitedHold
+			s.queues[r.class] = append([]request{r}, s.queues[r.class]...)
+			return
+		}
 		s.failing = res.Status == 0 || res.Status == 503
 		r.done(res)
 	})
 }
 
-// submit queues a request; an urgent one goes out at once, whatever the
-// buckets hold, and is made up for by those behind it.
-func (s *Store) submit(urgent bool, r request) {
+// submit queues a request.
+func (s *Store) submit(r request) {
 	if r.timeout == 0 {
 		r.timeout = s.limits.Timeout
 	}
-	if urgent {
+	if r.class == Urgent {
 		s.send(r)
 		return
 	}
-	if len(s.queue) >= maxQueue {
+	if len(s.queues[r.class]) >= maxQueue {
 		s.later(func() { r.done(Result{NotSent: true}) })
 		return
 	}
-	s.queue = append(s.queue, r)
+	s.queues[r.class] = append(s.queues[r.class], r)
 	s.pump()
 }
 
@@ -191,14 +245,19 @@
 }
 
 // Txn sends a transaction.
-func (s *Store) Txn(urgent bool, t protocol.Txn, done func(TxnResult)) {
+func (s *Store) Txn(class Class, t protocol.Txn, done func(TxnResult)) {
+	s.txnUntil(class, 0, t, done)
+}
+
+// txnUntil sends a transaction unless it still waits at the given time.
+func (s *Store) txnUntil(class Class, until time.Duration, t protocol.Txn, done func(TxnResult)) {
 	if t.If == nil {
 		t.If = []protocol.Condition{}
 	}
 	if t.Then == nil {
 		t.Then = []protocol.Change{}
 	}
-	s.submit(urgent, request{method: "POST", path: "/multi", body: s.codec.Encode(t), writes: len(t.Then),
+	s.submit(request{class: class, until: until, method: "POST", path: "/multi", body: s.codec.Encode(t), writes: len(t.Then),
 		done: func(r Result) { done(s.txnResult(r)) }})
 }
 
@@ -230,8 +289,12 @@
 }
 
 // Get reads one key. ok is false when the service gave no usable answer.
-func (s *Store) Get(urgent bool, key string, done func(p protocol.Pair, found, ok bool)) {
-	s.submit(urgent, request{method: "GET", path: "/kv/" + key, done: func(r Result) {
+func (s *Store) Get(class Class, key string, done func(p protocol.Pair, found, ok bool)) {
+	s.getUntil(class, 0, key, done)
+}
+
+func (s *Store) getUntil(class Class, until time.Duration, key string, done func(p protocol.Pair, found, ok bool)) {
+	s.submit(request{class: class, until: until, method: "GET", path: "/kv/" + key, done: func(r Result) {
 		var p protocol.Pair
 		switch {
 		case r.Status == 404:
@@ -255,7 +318,7 @@
 	if from != "" {
 		path += "&from=" + from
 	}
-	s.submit(false, request{method: "GET", path: path, timeout: 3 * s.limits.Timeout, done: func(r Result) {
+	s.submit(request{class: Read, method: "GET", path: path, timeout: 3 * s.limits.Timeout, done: func(r Result) {
 		var page protocol.Pairs
 		if r.Status != 200 || s.codec.Decode(r.Body, &page) != nil {
 			done(nil, 0, false)
@@ -277,7 +340,7 @@
 // old and everything must be read again.
 func (s *Store) Watch(prefix string, from uint64, hold time.Duration, done func(ev protocol.Events, gone, ok bool)) {
 	path := "/watch?under=" + prefix + "&from=" + strconv.FormatUint(from, 10) + "&holdMs=" + strconv.FormatInt(hold.Milliseconds(), 10)
-	s.submit(true, request{method: "GET", path: path, timeout: hold + 2*s.limits.Timeout, done: func(r Result) {
+	s.submit(request{class: Urgent, method: "GET", path: path, timeout: hold + 2*s.limits.Timeout, done: func(r Result) {
 		var ev protocol.Events
 		switch {
 		case r.Status == 410:
@@ -292,7 +355,7 @@
 
 // OpenLease asks for a state lease; 0 means that there is none.
 func (s *Store) OpenLease(ttl time.Duration, done func(lease uint64)) {
-	s.submit(true, request{method: "POST", path: "/leases", body: s.codec.Encode(protocol.LeaseRequest{TTLMs: ttl.Milliseconds()}),
+	s.submit(request{class: Urgent, method: "POST", path: "/leases", body: s.codec.Encode(protocol.LeaseRequest{TTLMs: ttl.Milliseconds()}),
 		done: func(r Result) {
 			var a protocol.LeaseAnswer
 			if r.Status != 200 || s.codec.Decode(r.Body, &a) != nil {
@@ -305,6 +368,6 @@
 
 // Touch renews a lease. lost says that the lease has ended for good.
 func (s *Store) Touch(lease uint64, timeout time.Duration, done func(ok, lost bool)) {
-	s.submit(true, request{method: "POST", path: "/leases/" + strconv.FormatUint(lease, 10) + "/touch", timeout: timeout,
+	s.submit(request{class: Urgent, method: "POST", path: "/leases/" + strconv.FormatUint(lease, 10) + "/touch", timeout: timeout,
 		done: func(r Result) { done(r.Status == 200, r.Status == 404) }})
 }
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -56,6 +56,9 @@
 	beatEvery   = time.Second
 )
 
+// burstShare is what one controller uses of the state service's bursts.
+const burstShare = 0.5
+
 // Core is the state of one controller.
 type Core struct {
 	env   Env
@@ -172,7 +175,8 @@
 	share := tune.WriteShare / float64(1+len(cfg.Known))
 	c.store = bookkeeping.NewStore(env.State, env.Clock, codec, bookkeeping.Limits{
 		RPS: cfg.Settings.State.RPS * share, WriteRPS: cfg.Settings.State.WriteRPS * share,
-		TxnOps: cfg.Settings.State.TxnOps, Timeout: tune.RequestTimeout,
+		BurstRPS: cfg.Settings.State.RPS * burstShare, BurstWrites: cfg.Settings.State.WriteRPS * burstShare,
+		TxnOps: cfg.Settings.State.TxnOps, ValueBytes: int(cfg.Settings.State.ValueKB * 1024), Timeout: tune.RequestTimeout,
 	}, c.later)
 	for i, p := range cfg.Known {
 		c.peers[p.Member] = &peer{member: p.Member, index: i + 1}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -255,7 +255,7 @@
 }
 
 // create writes a new job to this member's own ledger.
-func (o *owner) create(spec *protocol.Job, atMs int64, done func(bookkeeping.CreateResult)) {
+func (o *owner) create(spec *protocol.Job, atMs int64, until time.Duration, done func(bookkeeping.CreateResult)) {
 	l := o.ledgers[o.c.cfg.Member]
 	if l == nil || !l.ready {
 		done(bookkeeping.Unavailable)
@@ -268,7 +268,7 @@
 	o.nonces++
 	cr := &creation{nonce: o.c.me.Nonce + "-" + strconv.FormatUint(o.nonces, 36), waiters: []func(bookkeeping.CreateResult){done}}
 	l.creates[spec.ID] = cr
-	l.book.Create(spec, atMs, cr.nonce, func(r bookkeeping.CreateResult) {
+	l.book.Create(spec, atMs, cr.nonce, until, func(r bookkeeping.CreateResult) {
 		delete(l.creates, spec.ID)
 		if r == bookkeeping.Created && l.jobs[spec.ID] == nil {
 			o.newJob(l, spec, atMs, cr.nonce)
@@ -643,7 +643,7 @@
 		o.checkEnd(j)
 		return
 	}
-	j.ledger.book.TaskDone(j.id, int(i), func() {
+	j.ledger.book.TaskDone(j.spec, int(i), func() {
 		if t := &j.tasks[i]; t.place == completed {
 			t.place = written
 			j.nWrit++
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -310,7 +310,7 @@
 			// Without an answer the key may or may not be ours; the fresh
 			// view decides, and a claim of ours that is applied late shows
 			// there as held by this member.
-			s.c.store.Get(true, key, func(p protocol.Pair, found, ok bool) {
+			s.c.store.Get(bookkeeping.Urgent, key, func(p protocol.Pair, found, ok bool) {
 				if lease != s.lease {
 					return
 				}
@@ -324,7 +324,7 @@
 }
 
 func (s *session) put(key string, stamp uint64, done func(bookkeeping.TxnResult)) {
-	s.c.store.Txn(true, protocol.Txn{
+	s.c.store.Txn(bookkeeping.Urgent, protocol.Txn{
 		If:   []protocol.Condition{{Key: key, Stamp: stamp}},
 		Then: []protocol.Change{{Put: key, Value: s.c.codec.Encode(s.c.me), Lease: s.lease}},
 	}, done)
@@ -365,7 +365,7 @@
 			s.end()
 		default:
 			s.electAt = 0
-			s.c.store.Get(true, bookkeeping.LeaderKey, func(p protocol.Pair, found, ok bool) {
+			s.c.store.Get(bookkeeping.Urgent, bookkeeping.LeaderKey, func(p protocol.Pair, found, ok bool) {
 				if lease != s.lease {
 					return
 				}
@@ -396,7 +396,7 @@
 // tries until the key is gone: kept alive by the lease, it would keep every
 // other member out.
 func (s *session) dropLeaderKey(token uint64) {
-	s.c.store.Txn(true, protocol.Txn{
+	s.c.store.Txn(bookkeeping.Urgent, protocol.Txn{
 		If:   []protocol.Condition{{Key: bookkeeping.LeaderKey, Stamp: token}},
 		Then: []protocol.Change{{Delete: bookkeeping.LeaderKey}},
 	}, func(r bookkeeping.TxnResult) {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -11,9 +11,10 @@
 
 const (
 	submitTimeout = 3500 * time.Millisecond // users give up after 5 s
-	statusTimeout = 1200 * time.Millisecond // and polls after 2 s
-	askTimeout    = 700 * time.Millisecond
+	statusTimeout = 1500 * time.Millisecond // and polls after 2 s
+	askTimeout    = 500 * time.Millisecond
 	finalsKept    = 20000
+	ledgersKept   = 20000
 	maxAsks       = 2000
 	unreadyAfter  = 3 * time.Second
 )
@@ -29,10 +30,12 @@
 	c      *Core
 	finals map[string]ending
 	order  []string // of finals, the oldest first
-	asks   map[uint64]*ask
-	askSeq uint64
-	timers []timer
-	bad    time.Duration // since when this node could not act
+	// ledgers remembers to which ledger a job belongs, which never changes.
+	ledgers map[string]string
+	asks    map[uint64]*ask
+	askSeq  uint64
+	timers  []timer
+	bad     time.Duration // since when this node could not act
 }
 
 // ask is a question to the member that owns a job.
@@ -50,10 +53,12 @@
 func (u *users) init(c *Core) {
 	u.c = c
 	u.finals = make(map[string]ending)
+	u.ledgers = make(map[string]string)
 	u.asks = make(map[uint64]*ask)
 }
 
 func (u *users) remember(id, status string, tasks int) {
+	delete(u.ledgers, id)
 	if _, ok := u.finals[id]; ok {
 		return
 	}
@@ -96,7 +101,11 @@
 			reply(r)
 		}
 	}
-	u.timers = append(u.timers, timer{u.c.now() + limit, func() { once(u.c.refusal(503, "no answer in time", 1)) }})
+	u.timers = append(u.timers, timer{u.c.now() + limit, func() {
+		if !over {
+			once(u.c.refusal(503, "no answer in time", 1))
+		}
+	}})
 	return once
 }
 
@@ -197,7 +206,7 @@
 	}
 	if refused, ok := u.judge(job); !ok {
 		// It may be the retry of a job that was accepted when it could run.
-		u.lookUp(job.ID, 200, refused, reply)
+		u.lookUp(job.ID, 200, func() Response { return refused }, reply)
 		return
 	}
 	if l := c.owner.ledgers[c.cfg.Member]; l == nil || !l.ready || !c.session.mayAct(c.now()) || c.store.Failing() {
@@ -205,19 +214,19 @@
 			reply(c.refusal(503, "state service is away", 1))
 			return
 		}
-		u.lookUp(job.ID, 200, c.refusal(503, "not ready to accept", 1), reply)
+		u.lookUp(job.ID, 200, func() Response { return c.refusal(503, "not ready to accept", 1) }, reply)
 		return
 	}
 	if c.owner.full(job) {
-		u.lookUp(job.ID, 200, c.refusal(503, "too much unfinished work", 10), reply)
+		u.lookUp(job.ID, 200, func() Response { return c.refusal(503, "too much unfinished work", 10) }, reply)
 		return
 	}
-	c.owner.create(job, c.env.Wall().UnixMilli(), func(r bookkeeping.CreateResult) {
+	c.owner.create(job, c.env.Wall().UnixMilli(), c.now()+submitTimeout, func(r bookkeeping.CreateResult) {
 		switch r {
 		case bookkeeping.Created:
 			reply(c.status(201, job.ID, protocol.StatusPending, 0, 0))
 		case bookkeeping.Exists:
-			u.lookUp(job.ID, 200, c.refusal(503, "state is being read", 1), reply)
+			u.lookUp(job.ID, 200, func() Response { return c.refusal(503, "state is being read", 1) }, reply)
 		default:
 			reply(c.refusal(503, "state service is away", 1))
 		}
@@ -277,34 +286,55 @@
 }
 
 // lookUp reads a job's record afresh, and asks its owner if it goes on.
-// Nothing less than a fresh read may say that a job is unknown.
-func (u *users) lookUp(id string, code int, absent Response, reply func(Response)) {
+// Nothing less than a fresh read may say that a job is unknown, and nothing
+// less than that or its owner that it goes on.
+func (u *users) lookUp(id string, code int, absent func() Response, reply func(Response)) {
+	u.read(id, code, absent, reply, func(rec bookkeeping.JobRecord) {
+		u.ask(id, code, rec.Ledger, reply, func() {
+			// The owner does not answer. The job may have come to its end
+			// since the record was read.
+			u.read(id, code, absent, reply, func(bookkeeping.JobRecord) {
+				reply(u.c.status(code, id, protocol.StatusPending, 0, 0))
+			})
+		})
+	})
+}
+
+// read answers from a job's record unless the job goes on.
+func (u *users) read(id string, code int, absent func() Response, reply func(Response), goesOn func(bookkeeping.JobRecord)) {
 	c := u.c
-	c.store.Job(id, func(rec bookkeeping.JobRecord, found, ok bool) {
+	c.store.Job(id, c.now()+statusTimeout, func(rec bookkeeping.JobRecord, found, ok bool) {
 		switch {
 		case !ok:
 			reply(c.refusal(503, "state service is away", 1))
 		case !found:
-			reply(absent)
+			reply(absent())
 		case rec.Status != "":
 			u.remember(id, rec.Status, rec.Tasks)
 			reply(c.finalStatus(code, id, ending{rec.Status, rec.Tasks}))
 		default:
-			if u.known(id, code, reply) {
-				return
+			if len(u.ledgers) >= ledgersKept {
+				clear(u.ledgers)
 			}
-			u.askOwner(id, rec.Ledger, false, func(a *meshpb.Answer) {
-				if a == nil || a.Status != 200 {
-					// The record read above is not older than any answer given.
-					reply(c.status(code, id, protocol.StatusPending, 0, 0))
-					return
-				}
-				if a.State == protocol.StatusDone || a.State == protocol.StatusWithdrawn {
-					u.remember(id, a.State, rec.Tasks)
-				}
-				reply(c.status(code, id, a.State, int(a.Done), int(a.Running)))
-			})
+			u.ledgers[id] = rec.Ledger
+			if !u.known(id, code, reply) {
+				goesOn(rec)
+			}
+		}
+	})
+}
+
+// ask answers with what a job's owner says, or calls silent.
+func (u *users) ask(id string, code int, ledger string, reply func(Response), silent func()) {
+	u.askOwner(id, ledger, false, func(a *meshpb.Answer) {
+		if a == nil || a.Status != 200 {
+			silent()
+			return
+		}
+		if a.State == protocol.StatusDone || a.State == protocol.StatusWithdrawn {
+			u.remember(id, a.State, int(a.Done))
 		}
+		reply(u.c.status(code, id, a.State, int(a.Done), int(a.Running)))
 	})
 }
 
@@ -318,7 +348,12 @@
 	if u.known(id, 200, reply) {
 		return
 	}
-	u.lookUp(id, 200, u.c.refusal(404, "no such job", 0), reply)
+	absent := func() Response { return u.c.refusal(404, "no such job", 0) }
+	if ledger, ok := u.ledgers[id]; ok {
+		u.ask(id, 200, ledger, reply, func() { u.lookUp(id, 200, absent, reply) })
+		return
+	}
+	u.lookUp(id, 200, absent, reply)
 }
 
 // abort cancels a job, here or at its owner.
@@ -337,7 +372,7 @@
 		u.withdraw(j, reply)
 		return
 	}
-	c.store.Job(id, func(rec bookkeeping.JobRecord, found, ok bool) {
+	c.store.Job(id, c.now()+submitTimeout, func(rec bookkeeping.JobRecord, found, ok bool) {
 		switch {
 		case !ok:
 			reply(c.refusal(503, "state service is away", 1))
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -362,3 +362,12 @@
 	}
 	return s, nil
 }
+
+// TextMap reads a CBOR map of texts.
+func (c *Codec) TextMap(b []byte) (map[string]string, error) {
+	var m map[string]string
+	if err := c.dec.Unmarshal(b, &m); err != nil {
+		return nil, fmt.Errorf("cbor: %w", err)
+	}
+	return m, nil
+}
