The users' additions to the protocol hold, each with its test

Known, served, answers lost, late copies, alone with its workers, back at once:

- A member's key names its present process; every claim carries a condition on its stamp, and nothing is promised or claimed before it is written.
- A machine gets starts only when a report shows that an answer arrived: the leader's token for the first time, or the same connection.
Silence counts from then.
- A job that has not begun in 45 s comes first, in order of age, whatever its priority, image or size; room gathers for it on a machine of its own, and it is not stopped again.
- A member that is alone with its workers is not ready after 3 s.

--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -15,6 +15,7 @@
 	MemberPrefix = "m/"
 	LeaderKey    = MemberPrefix + "leader"
 	ledgerPrefix = MemberPrefix + "ledger/"
+	selfPrefix   = MemberPrefix + "member/"
 	jobPrefix    = "job/"
 	ownPrefix    = "own/"
 	donePrefix   = "done/"
@@ -32,7 +33,12 @@
 // LedgerKey is the key that names a ledger's holder.
 func LedgerKey(ledger string) string { return ledgerPrefix + ledger }
 
-// LedgerOfKey is its inverse.
+// SelfKey is the key that names a member's present process. Every claim of a
+// key carries a condition on its stamp, so that a claim of an earlier process,
+// held by the network, can never be applied once the next one has written it.
+func SelfKey(member string) string { return selfPrefix + member }
+
+// LedgerOfKey is the inverse of LedgerKey.
 func LedgerOfKey(key string) (string, bool) { return strings.CutPrefix(key, ledgerPrefix) }
 
 // JobKey is the key under which any node finds a job.
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -13,6 +13,7 @@
 	maxFetches   = 8                      // images that an offer considers fetching
 	beginWithin  = 45 * time.Second       // a job that has not begun by then comes first
 	maxHeld      = 16                     // machines whose room gathers for such jobs
+	heldPart     = 8                      // and the part of all machines that they are at the most
 )
 
 // rank orders waiting jobs. A job that has not begun for long comes first:
@@ -34,6 +35,8 @@
 	switch {
 	case a.overdue != b.overdue:
 		return a.overdue
+	case a.overdue:
+		return a.start < b.start // the oldest, whatever its priority
 	case a.urgent != b.urgent:
 		return a.urgent > b.urgent
 	case a.urgent > 0 && a.late != b.late:
@@ -233,7 +236,7 @@
 	}
 	n := 0
 	for j := range l.demand.overdue {
-		if n++; n > maxHeld {
+		if n++; n > min(maxHeld, 1+len(l.machines.byName)/heldPart) {
 			return
 		}
 		var best *machine
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -29,6 +29,7 @@
 	closed    bool
 	closedAt  time.Duration
 	begun     bool // a task of it was located
+	owed      bool // it began only because it had waited for too long
 	stops     int  // how often a task of it made room for others
 	rank      rank
 	errorsOn  map[string]bool
--- a/internal/coordination/promise.go
+++ b/internal/coordination/promise.go
@@ -93,7 +93,7 @@
 // onPromiseAsk promises, unless a key is not the asker's any more as far as
 // this member knows, or a claim of its own is under way.
 func (s *session) onPromiseAsk(from *peer, f *meshpb.PromiseAsk) {
-	given := s.viewOK && len(f.Keys) > 0
+	given := s.viewOK && s.self != 0 && len(f.Keys) > 0
 	for _, k := range f.Keys {
 		held := &s.leaderK
 		name := bookkeeping.LeaderKey
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -50,10 +50,10 @@
 	if m.pending != nil {
 		l.giveUp(m.pending)
 	}
-	l.note(m, r, conn, now)
+	arrives := l.note(m, r, conn, now)
 	a := &answer{m: m, reply: reply, at: now, conn: conn, session: r.Session, seq: r.Seq}
 	a.commands = l.clearing(m)
-	if m.reached == now {
+	if arrives {
 		l.preempt(m, a, now)
 		l.makeOffers(m, a, now)
 	}
@@ -68,8 +68,9 @@
 // note takes a report into the machine's record and passes it on. A report
 // without this leader's token may be a copy from long ago, or the first that a
 // worker sends here: it says only that the machine may be there. The worker's
-// next one, half a second after it has seen the token, says the rest.
-func (l *leader) note(m *machine, r *protocol.Report, conn uint64, now time.Duration) {
+// next one, half a second after it has seen the token, says the rest. It
+// returns whether the report shows that answers arrive.
+func (l *leader) note(m *machine, r *protocol.Report, conn uint64, now time.Duration) (arrives bool) {
 	first := !m.reported
 	anew := m.currentAt == 0 || r.Session != m.session
 	if m.variant != (variant{r.Type, r.Zone, r.Spot}) {
@@ -84,11 +85,11 @@
 	if r.Token != l.token {
 		l.shade(m, now)
 		l.passOn(m, false, false, now)
-		return
+		return false
 	}
-	if m.currentAt == 0 || (conn != 0 && conn == m.conn) {
-		// The worker knows this leader's token for the first time, or has
-		// stayed on the connection of its last report: it had an answer.
+	// A worker that knows this leader's token for the first time, or has stayed
+	// on the connection of its last report, has had an answer.
+	if arrives = m.currentAt == 0 || (conn != 0 && conn == m.conn); arrives {
 		m.reached, l.reportAt = now, now
 	}
 	m.currentAt = now
@@ -119,6 +120,7 @@
 	}
 	l.shade(m, now)
 	l.passOn(m, true, changed, now)
+	return arrives
 }
 
 // sameList tells whether a report lists what the one before did, and nothing
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -45,6 +45,9 @@
 	leaderK  heldKey
 	ledgers  map[string]*heldKey
 
+	self        uint64 // stamp of the key that names this process; 0: not certainly written
+	registering bool
+
 	claiming   map[string]bool
 	electAt    time.Duration
 	abstainTo  time.Duration
@@ -95,8 +98,9 @@
 		s.touch(now)
 	}
 	s.follow(now)
+	s.register(now)
 	s.askPromises(now)
-	if !s.viewOK || !s.leaseHolds(now) {
+	if s.self == 0 || !s.viewOK || !s.leaseHolds(now) {
 		return
 	}
 	if s.c.stream.joinedAll() || !s.leaderK.present || s.leaderK.holder.Member == s.c.cfg.Member {
@@ -120,6 +124,45 @@
 	}
 }
 
+// register writes the key that names this process. Before that is certain it
+// neither claims nor promises anything: claims of an earlier process of this
+// member may still be on their way, and only this write puts an end to them.
+func (s *session) register(now time.Duration) {
+	if s.self != 0 || s.registering || now < s.retryAt {
+		return
+	}
+	s.registering = true
+	key := bookkeeping.SelfKey(s.c.cfg.Member)
+	again := func() {
+		s.registering = false
+		s.retryAt = s.c.now() + sessionRetry
+	}
+	s.c.store.Get(bookkeeping.Urgent, key, func(p protocol.Pair, found, ok bool) {
+		var h bookkeeping.Holder
+		switch {
+		case !ok:
+			again()
+			return
+		case found && s.c.codec.Decode(p.Value, &h) == nil && h == s.c.me:
+			// An earlier write of ours that got no answer. Others of ours have
+			// the same condition and fail from now on.
+			s.self, s.registering = p.Stamp, false
+			return
+		}
+		s.c.store.Txn(bookkeeping.Urgent, protocol.Txn{
+			If:   []protocol.Condition{{Key: key, Stamp: p.Stamp}},
+			Then: []protocol.Change{{Put: key, Value: s.c.codec.Encode(s.c.me)}},
+		}, func(r bookkeeping.TxnResult) {
+			if r.Outcome != bookkeeping.Applied {
+				again()
+				return
+			}
+			s.self, s.registering = r.Revision, false
+			s.tick(s.c.now())
+		})
+	})
+}
+
 func (s *session) open(now time.Duration) {
 	if s.opening || now < s.retryAt {
 		return
@@ -324,10 +367,16 @@
 }
 
 func (s *session) put(key string, stamp uint64, done func(bookkeeping.TxnResult)) {
+	self := bookkeeping.SelfKey(s.c.cfg.Member)
 	s.c.store.Txn(bookkeeping.Urgent, protocol.Txn{
-		If:   []protocol.Condition{{Key: key, Stamp: stamp}},
+		If:   []protocol.Condition{{Key: key, Stamp: stamp}, {Key: self, Stamp: s.self}},
 		Then: []protocol.Change{{Put: key, Value: s.c.codec.Encode(s.c.me), Lease: s.lease}},
-	}, done)
+	}, func(r bookkeeping.TxnResult) {
+		if r.FailedOn(self) {
+			s.self = 0
+		}
+		done(r)
+	})
 }
 
 // elect tries for the leader key when nobody holds it, or an earlier process
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -71,6 +71,11 @@
 }
 
 func (u *users) tick(now time.Duration) {
+	if l := u.c.owner.ledgers[u.c.cfg.Member]; l != nil && l.ready && u.c.session.mayAct(now) {
+		u.bad = 0
+	} else if u.bad == 0 {
+		u.bad = now
+	}
 	for id, a := range u.asks {
 		if now-a.at > askTimeout {
 			delete(u.asks, id)
@@ -163,23 +168,21 @@
 }
 
 // ready answers the load balancer. A node that the state service refuses
-// still counts as ready while no other member is better off.
+// still counts as ready while no other member is better off, but not if it
+// cannot ask any: then it is most likely alone with its workers and users.
 func (u *users) ready(reply func(Response)) {
 	c, now := u.c, u.c.now()
 	l := c.owner.ledgers[c.cfg.Member]
 	if l != nil && l.ready && c.session.mayAct(now) {
-		u.bad = 0
 		reply(Response{Status: 200})
 		return
 	}
-	if u.bad == 0 {
-		u.bad = now
-	}
-	others := false
+	better, alone := false, len(c.peers) > 0
 	for _, p := range c.peers {
-		others = others || (p.link != nil && p.stateOK)
+		better = better || (p.link != nil && p.stateOK)
+		alone = alone && p.link == nil
 	}
-	if l != nil && l.ready && (!others || now-u.bad < unreadyAfter) {
+	if l != nil && l.ready && ((!better && !alone) || now-u.bad < unreadyAfter) {
 		reply(Response{Status: 200})
 		return
 	}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -343,9 +343,11 @@
 	hung       bool
 	starts     int
 	lastSent   []byte
-	neverStart bool  // drops starts, as if the answer were lost
-	deaf       bool  // no answer reaches it
-	stays      *Core // where its last report was answered
+	neverStart bool          // drops starts, as if the answer were lost
+	deaf       bool          // no answer reaches it
+	takes      time.Duration // tasks end by themselves after it; 0: never
+	vary       time.Duration // and up to six times this more
+	stays      *Core         // where its last report was answered
 	conn       uint64
 }
 
@@ -354,6 +356,7 @@
 	attempt uint64
 	state   string
 	why     any
+	since   time.Duration
 }
 
 func (w *world) worker(name, zone string) *worker {
@@ -363,6 +366,16 @@
 	return k
 }
 
+// boot brings up the machines that were rented a while ago; their tasks take
+// the given time.
+func (w *world) boot(takes time.Duration) {
+	for _, m := range w.cloud.machines {
+		if w.workers[m.name] == nil && m.status == "starting" && w.now-m.at > 5*time.Second {
+			w.workers[m.name] = &worker{w: w, name: m.name, zone: m.zone, session: 1, tasks: make(map[string]*workerTask), takes: takes}
+		}
+	}
+}
+
 func (k *worker) body() []byte {
 	k.seq++
 	pages := []any{}
@@ -373,6 +386,9 @@
 	sort.Strings(keys)
 	for _, key := range keys {
 		t := k.tasks[key]
+		if k.takes > 0 && t.state == "running" && k.w.now-t.since >= k.takes+k.vary*time.Duration(t.attempt%7) {
+			t.state, t.why = "ended", "done"
+		}
 		pages = append(pages, map[string]any{"page": t.name, "try": t.attempt, "status": t.state, "cause": t.why})
 	}
 	return k.w.codec.Encode(map[string]any{"roost": k.name, "address": "10.1.0.1:1", "breed": "m8", "hall": k.zone, "loaners": false,
@@ -426,7 +442,7 @@
 		case c.Op == protocol.VerbStart && t == nil && !k.neverStart:
 			k.w.checkAlone(c.Task, k)
 			k.starts++
-			k.tasks[key] = &workerTask{name: c.Task, attempt: c.Attempt, state: "running"}
+			k.tasks[key] = &workerTask{name: c.Task, attempt: c.Attempt, state: "running", since: k.w.now}
 		case c.Op == protocol.VerbStop && t != nil && t.state != "ended":
 			t.state, t.why = "ended", "halted"
 		case c.Op == protocol.VerbForget && t != nil && t.state == "ended":
@@ -729,6 +745,7 @@
 	refuse   bool
 	more     []protocol.MachineType // besides m8
 	silent   bool                   // carries requests out but gives no answer
+	stuck    bool                   // releases nothing
 	n        int
 }
 
@@ -766,6 +783,8 @@
 			return
 		}
 		answer(200, protocol.MachineNames{Machines: names})
+	case path == "/hosts/release" && c.stuck:
+		answer(503, map[string]any{"error": "trouble"})
 	case path == "/hosts/release":
 		var q protocol.MachineNames
 		if err := c.w.codec.Decode(body, &q); err != nil {
