Only the task that an overdue job got out of turn is kept from being stopped

Now it is the first task alone, after two minutes; and a fetch of less than a tenth of the run is made whenever there is room.

--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -11,7 +11,7 @@
 	arrangeEvery = 500 * time.Millisecond // the order changes with time alone
 	lookAhead    = 8                      // jobs of one queue that an offer looks at
 	maxFetches   = 8                      // images that an offer considers fetching
-	beginWithin  = 45 * time.Second       // a job that has not begun by then comes first
+	beginWithin  = 2 * time.Minute        // a job that has not begun by then comes first
 	maxHeld      = 16                     // machines whose room gathers for such jobs
 	heldPart     = 8                      // and the part of all machines that they are at the most
 )
@@ -163,7 +163,7 @@
 				}
 				for _, q := range k.images {
 					fetch := fetchTime(q.image, t)
-					q.fetch = q.fetch || fetch < time.Second || q.image.wait() > time.Duration(float64(fetch)*fetchPays)
+					q.fetch = q.fetch || l.fetchIsLow(q.teams[0].jobs[0], fetch) || q.image.wait() > time.Duration(float64(fetch)*fetchPays)
 				}
 				d.kinds[v] = k
 			}
--- a/internal/coordination/images.go
+++ b/internal/coordination/images.go
@@ -11,6 +11,7 @@
 const (
 	bigFetch  = 10 * time.Second // a fetch that others should not slow down
 	fetchPays = 1.0              // how many times its length a fetch must save
+	fetchLow  = 0.1              // of a task's run time, what a fetch may always take
 )
 
 // image is one that tasks need, with the work that waits for it set against
@@ -191,11 +192,12 @@
 // it. A fetch holds the room of the tasks that wait for it, so it has to pay:
 // the job's tasks must face a wait that is longer, by a good part of the
 // fetch, than that of the work whose images the machine has already. Two
-// fetches at once would only slow each other down.
+// fetches at once would only slow each other down. One that is short against
+// the run is made whenever there is room.
 func (l *leader) worthFetching(j *leaderJob, m *machine) bool {
 	typ := l.c.fleet.types[m.typ]
 	fetch := fetchTime(j.image, typ)
-	if fetch < time.Second || j.rank.overdue {
+	if l.fetchIsLow(j, fetch) || j.rank.overdue {
 		return true
 	}
 	for i := range m.tasks {
@@ -213,6 +215,10 @@
 	return j.image.wait() > own+time.Duration(float64(fetch)*fetchPays)
 }
 
+func (l *leader) fetchIsLow(j *leaderJob, fetch time.Duration) bool {
+	return fetch < max(time.Second, time.Duration(fetchLow*float64(l.runTime(j.spec))))
+}
+
 // imagesToTell lists what a machine has cached.
 func (m *machine) imagesToTell() []*meshpb.Image {
 	out := make([]*meshpb.Image, 0, len(m.images))
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -25,6 +25,7 @@
 	since   time.Duration // when it was first seen in its state
 	job     *leaderJob    // nil if no joined owner knows it
 	stopped bool          // told to stop, to make room
+	owed    bool          // it is not, see stoppable
 }
 
 // known tells whether the size of a copy is known.
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -122,7 +122,7 @@
 	l.recount(j)
 	if j.rank.overdue {
 		// Once a task of it is on offer it is served in its turn.
-		j.owed = true
+		j.owed++
 		j.rank = l.rankOf(&leaderJob{spec: j.spec, prio: j.prio, begun: true}, l.c.env.Wall().UnixMilli())
 	}
 	for _, o := range a.open {
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -94,11 +94,12 @@
 	return got
 }
 
-// stoppable tells whether a task can be stopped to make room. A job that began
-// only because it had waited for too long is left alone, and so is one whose
-// tasks made room as often as it has tasks: they would give way for ever.
+// stoppable tells whether a task can be stopped to make room. A task that was
+// started only because its job had waited for too long is left alone, and so is
+// a job whose tasks made room as often as it has tasks: they would give way for
+// ever.
 func (l *leader) stoppable(m *machine, t *placed, now time.Duration) bool {
-	if t.stopped || !t.known() || t.job.closed || m.orders[t.key] != nil || t.job.owed || t.job.stops >= int(t.job.spec.Tasks) {
+	if t.stopped || !t.known() || t.job.closed || m.orders[t.key] != nil || t.owed || t.job.stops >= int(t.job.spec.Tasks) {
 		return false
 	}
 	return t.state == protocol.TaskFetching || (t.state == protocol.TaskRunning && !l.endsSoon(t, now))
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -159,7 +159,7 @@
 			old = find(m.sent, key) // it may have ended before it was ever listed
 		}
 		if old != nil {
-			p.stopped = old.stopped
+			p.stopped, p.owed = old.stopped, old.owed
 			if old.state == t.State {
 				p.since = old.since
 			}
@@ -324,7 +324,8 @@
 		a.commands = append(a.commands, protocol.Command{Op: protocol.VerbStart,
 			Task: protocol.TaskName(p.pick.Job, int(p.pick.Task)), Attempt: p.pick.Attempt})
 		m.sent = append(m.sent, placed{key: taskKey{p.pick.Job, p.pick.Task, p.pick.Attempt}, state: protocol.TaskFetching,
-			job: j, since: now})
+			job: j, since: now, owed: j.owed > 0})
+		j.owed = max(0, j.owed-1)
 		if m.listing {
 			j.listed++
 		}
