Warm machines for classes whose starts must come sooner than a boot

What came in the last 150 s says how many machines such work holds, and how far it swings; that many stay, and are rented, as spot machines only.

--- /dev/null
+++ b/internal/coordination/forecast.go
@@ -0,0 +1,111 @@
+package coordination
+
+import (
+	"math"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+)
+
+const (
+	seenFor     = 150 * time.Second // arrivals that the forecast goes by
+	maxArrivals = 1024
+	minArrivals = 5 // below that nothing is forecast
+)
+
+// forecast sizes the fleet for classes whose starts the users want sooner than
+// a machine boots. What is to come is unknown, but how much came of late says
+// how many machines such work holds on average, and how far it swings above
+// that: arrivals that know nothing of each other make a Poisson stream, and
+// what they hold has a mean of rate times work, and a variance of rate times
+// work times size.
+type forecast struct {
+	l        *leader
+	arrivals []arrival
+}
+
+// arrival is one job of such a class.
+type arrival struct {
+	at       time.Duration
+	typ      string
+	machines float64 // that its tasks fill
+	run      float64 // seconds
+	share    float64 // of starts that the users want in time
+}
+
+// note takes in a new job.
+func (f *forecast) note(j *leaderJob, now time.Duration) {
+	share, within := f.wish(j.spec.Class)
+	if share == 0 || len(f.arrivals) >= maxArrivals {
+		return
+	}
+	v, ok := f.l.rent.best(j, now, nil)
+	if !ok {
+		return
+	}
+	t := f.l.c.fleet.types[v.typ]
+	if t.BootS <= within {
+		return
+	}
+	age := time.Duration(f.l.c.env.Wall().UnixMilli()-j.spec.SubmittedMs) * time.Millisecond
+	f.arrivals = append(f.arrivals, arrival{at: now - max(0, age), typ: v.typ, share: share,
+		machines: math.Ceil(float64(j.spec.Tasks) / math.Max(1, fitting(t, j))), run: f.l.runTime(j.spec).Seconds() + fetchTime(j.image, t).Seconds()})
+}
+
+// wish is the share of a class's starts that the users want within a time.
+func (f *forecast) wish(class string) (share, within float64) {
+	for _, o := range f.l.c.cfg.Settings.Objectives {
+		if o.Kind == "wait" && o.Class == class && o.Share > 0 && o.Share < 1 {
+			return o.Share, o.WithinS
+		}
+	}
+	return 0, 0
+}
+
+// fitting is how many of a job's tasks a machine takes at once.
+func fitting(t *protocol.MachineType, j *leaderJob) float64 {
+	n := math.Inf(1)
+	for _, r := range [][2]float64{{t.CPUs, j.spec.Cpus}, {t.GPUs, j.spec.Gpus}, {t.MemoryGB, j.spec.MemoryGb}} {
+		if r[1] > 0 {
+			n = math.Min(n, math.Floor(r[0]/r[1]+1e-9))
+		}
+	}
+	if math.IsInf(n, 1) {
+		return 1
+	}
+	return n
+}
+
+// warm returns how many machines of each type should be there, whether or not
+// there is work for them now.
+func (f *forecast) warm(now time.Duration) map[string]int {
+	kept := f.arrivals[:0]
+	for _, a := range f.arrivals {
+		if now-a.at <= seenFor {
+			kept = append(kept, a)
+		}
+	}
+	f.arrivals = kept
+	type sums struct{ n, mean, variance, share float64 }
+	by := make(map[string]*sums)
+	span := math.Min(seenFor.Seconds(), (now - f.l.since + settleIn).Seconds())
+	for _, a := range f.arrivals {
+		s := by[a.typ]
+		if s == nil {
+			s = &sums{}
+			by[a.typ] = s
+		}
+		s.n++
+		s.mean += a.machines * a.run / span
+		s.variance += a.machines * a.machines * a.run / span
+		s.share = math.Max(s.share, a.share)
+	}
+	out := make(map[string]int, len(by))
+	for typ, s := range by {
+		if s.n >= minArrivals {
+			z := math.Sqrt2 * math.Erfinv(2*s.share-1)
+			out[typ] = int(math.Ceil(s.mean + math.Max(0, z)*math.Sqrt(s.variance)))
+		}
+	}
+	return out
+}
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -145,10 +145,14 @@
 		j = &leaderJob{id: d.Job, errorsOn: make(map[string]bool)}
 		l.jobs[d.Job] = j
 	}
+	j.ledger = g
 	if d.Spec && !j.closed {
+		told := j.spec != nil && j.spec.SubmittedMs > 0
 		l.describe(j, d)
+		if !told && d.SubmittedMs > 0 {
+			l.forecast.note(j, l.c.now())
+		}
 	}
-	j.ledger = g
 	if j.closed {
 		return // it stays over, whatever a late message says
 	}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -31,6 +31,7 @@
 	demand    demand
 	short     shortage
 	rent      renting
+	forecast  forecast
 	est       map[string]*estimate
 	images    imageTable
 }
@@ -62,6 +63,7 @@
 		l.ledgers[name] = &leaderLedger{name: name, jobs: make(map[string]*leaderJob)}
 	}
 	l.rent.init(l)
+	l.forecast.l = l
 	c.leader = l
 	c.fleet.nextAsk, c.fleet.nextList = min(c.fleet.nextAsk, now), now // prices and machines as they are now
 	c.log.Info().Uint64("token", token).Msg("leading")
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -277,3 +277,6 @@
 func (m *machine) empty() bool {
 	return len(m.tasks)+len(m.sent) == 0 && m.pending == nil
 }
+
+// comes tells whether a machine has not come so far that it may get starts.
+func (m *machine) comes() bool { return m.currentAt == 0 || m.record == "" }
--- a/internal/coordination/promise.go
+++ b/internal/coordination/promise.go
@@ -38,6 +38,14 @@
 	p.rounds = make(map[uint64]time.Duration)
 }
 
+// first notes that this is the member's first process ever, so that none
+// before it can have promised anything.
+func (p *promises) first() {
+	if p.fresh {
+		p.bound = 0
+	}
+}
+
 // freeToClaim tells whether no promise, given or perhaps forgotten, binds
 // this member. An earlier process of it cannot have promised anything to
 // processes that started after this one.
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -45,6 +45,8 @@
 	inZone   map[string]int
 	booting  map[variant]int // machines that are to come
 	variants []variant       // all that can be rented, spot ones first
+	ofType   map[string]int  // machines of each type, there or to come
+	warm     map[string]int  // and how many there should be at the least
 }
 
 func (r *renting) init(l *leader) {
@@ -105,19 +107,40 @@
 	lacking := r.match(have, now)
 	r.release(now)
 	r.resend(now)
-	if now-r.l.since >= settleIn && now >= r.trouble {
+	if r.settled(now) && now >= r.trouble {
 		r.rent(lacking, have, now)
 	}
 }
 
+// settled tells whether a new leader knows the fleet well enough to add to it:
+// it has looked for a while, or there is nothing to be heard of.
+func (r *renting) settled(now time.Duration) bool {
+	if now-r.l.since >= settleIn || r.seq > 0 {
+		return true
+	}
+	if !r.l.roster || r.l.c.fleet.listedAt <= r.l.since {
+		return false
+	}
+	for m := range r.l.machines.all {
+		if !m.gone {
+			return false
+		}
+	}
+	return true
+}
+
 // count notes how many machines each zone has, and which are to come.
 func (r *renting) count(now time.Duration) {
 	r.inZone, r.booting, r.variants = make(map[string]int), make(map[variant]int), r.variants[:0]
+	r.ofType, r.warm = make(map[string]int), r.l.forecast.warm(now)
 	for name, t := range r.l.c.fleet.types {
 		for _, z := range t.Zones {
 			r.variants = append(r.variants, variant{name, z, true}, variant{name, z, false})
 		}
 	}
+	for _, q := range r.requests {
+		r.ofType[q.v.typ] += q.Count
+	}
 	sort.Slice(r.variants, func(i, k int) bool {
 		a, b := r.variants[i], r.variants[k]
 		if a.spot != b.spot {
@@ -130,7 +153,10 @@
 			continue
 		}
 		r.inZone[m.zone]++
-		if t := r.l.c.fleet.types[m.typ]; t != nil && !m.leaving && m.record == "" && now-m.rentedAt < r.bootLimit(t) {
+		if r.l.usable(m, now) || (m.comes() && !m.leaving) {
+			r.ofType[m.typ]++
+		}
+		if t := r.l.c.fleet.types[m.typ]; t != nil && !m.leaving && m.comes() && now-m.rentedAt < r.bootLimit(t) {
 			r.booting[m.variant]++
 		}
 	}
@@ -159,7 +185,7 @@
 		switch {
 		case r.l.usable(m, now):
 			free = r.soonFree(m, t, now)
-		case m.record == "" && now-m.rentedAt < r.bootLimit(t):
+		case m.comes() && now-m.rentedAt < r.bootLimit(t):
 			free = wholeRoom(t)
 		}
 		if free.cpus > 0 && free.cpus >= least.cpus {
@@ -308,9 +334,11 @@
 			last = &supply{room: wholeRoom(r.l.c.fleet.types[v.typ])}
 			have[v] = append(have[v], last)
 			ask[v]++
+			r.ofType[v.typ]++
 			left--
 		}
 	}
+	r.keepWarm(ask, left, now)
 	for v, n := range ask {
 		for n > 0 {
 			k := min(n, maxRent)
@@ -323,6 +351,18 @@
 	r.resend(now)
 }
 
+// keepWarm asks for machines for work that is to come: the cheapest kinds, and
+// no ordinary ones, which cost several times as much.
+func (r *renting) keepWarm(ask map[variant]int, left int, now time.Duration) {
+	for _, v := range r.variants {
+		for v.spot && left > 0 && r.refused[v] <= now && r.ofType[v.typ] < r.warm[v.typ] {
+			ask[v]++
+			r.ofType[v.typ]++
+			left--
+		}
+	}
+}
+
 // perTick is how many machines can be asked for in a second.
 func (r *renting) perTick() int {
 	return maxRent * max(1, int(r.l.c.cfg.Settings.Cloud.RPS*leaderShare))
@@ -551,7 +591,11 @@
 	if !m.spot {
 		idle /= 2 // it costs several times as much
 	}
-	return !m.kept && now-m.idleSince > idle && now-m.rentedAt > minCharge
+	if m.kept || now-m.idleSince <= idle || now-m.rentedAt <= minCharge || (m.spot && r.ofType[m.typ] <= r.warm[m.typ]) {
+		return false
+	}
+	r.ofType[m.typ]--
+	return true
 }
 
 // holdsEnded tells whether a machine still holds a task of a job that was over
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -83,6 +83,9 @@
 	}
 	m.session, m.seq, m.reported, m.heard = r.Session, r.Seq, true, now
 	if r.Token != l.token {
+		if m.rentedAt != 0 {
+			l.wantName(m) // so that its next report, half a second on, gets starts
+		}
 		l.shade(m, now)
 		l.passOn(m, false, false, now)
 		return false
@@ -114,10 +117,7 @@
 			break
 		}
 	}
-	if m.record == "" && !m.recording {
-		l.unnamed = append(l.unnamed, m)
-		m.recording = true
-	}
+	l.wantName(m)
 	l.shade(m, now)
 	l.passOn(m, true, changed, now)
 	return arrives
--- a/internal/coordination/roster.go
+++ b/internal/coordination/roster.go
@@ -18,6 +18,14 @@
 	nameEvery      = 250 * time.Millisecond // new machines gather for one record
 )
 
+// wantName has a machine named that was not yet.
+func (l *leader) wantName(m *machine) {
+	if m.record == "" && !m.recording {
+		l.unnamed = append(l.unnamed, m)
+		m.recording = true
+	}
+}
+
 // nameMachines names the machines that report and have not been named yet.
 // One that has not come up holds nothing, and is nothing to wait for.
 func (l *leader) nameMachines(now time.Duration) {
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -158,6 +158,9 @@
 				return
 			}
 			s.self, s.registering = r.Revision, false
+			if !found {
+				s.promises.first()
+			}
 			s.tick(s.c.now())
 		})
 	})
