Run times are learned as a line through estimates and times taken

Cause: the forecast wanted 940 machines where 400 were busy. Estimates of map-build are off by a factor that varies from job to job; multiplying them by the mean of that factor made every run time 1.4 times too long. Now a line through the logarithms says how much an estimate is worth, and the forecast goes by times taken.

--- a/internal/coordination/forecast.go
+++ b/internal/coordination/forecast.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 )
 
 const (
@@ -29,7 +30,8 @@
 	at       time.Duration
 	typ      string
 	machines float64 // that its tasks fill
-	run      float64 // seconds
+	job      *meshpb.JobDemand
+	fetch    float64 // seconds
 	share    float64 // of starts that the users want in time
 }
 
@@ -49,7 +51,7 @@
 	}
 	age := time.Duration(f.l.c.env.Wall().UnixMilli()-j.spec.SubmittedMs) * time.Millisecond
 	f.arrivals = append(f.arrivals, arrival{at: now - max(0, age), typ: v.typ, share: share,
-		machines: math.Ceil(float64(j.spec.Tasks) / math.Max(1, fitting(t, j))), run: f.l.runTime(j.spec).Seconds() + fetchTime(j.image, t).Seconds()})
+		machines: math.Ceil(float64(j.spec.Tasks) / math.Max(1, fitting(t, j))), job: j.spec, fetch: fetchTime(j.image, t).Seconds()})
 }
 
 // wish is the share of a class's starts that the users want within a time.
@@ -95,9 +97,10 @@
 			s = &sums{}
 			by[a.typ] = s
 		}
+		run := f.l.usualTime(a.job).Seconds() + a.fetch
 		s.n++
-		s.mean += a.machines * a.run / span
-		s.variance += a.machines * a.machines * a.run / span
+		s.mean += a.machines * run / span
+		s.variance += a.machines * a.machines * run / span
 		s.share = math.Max(s.share, a.share)
 	}
 	out := make(map[string]int, len(by))
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -353,35 +353,56 @@
 	return check(t.CPUsMax, j.team.cpus, l.dark.cpus, j.spec.Cpus) && check(t.GPUsMax, j.team.gpus, l.dark.gpus, j.spec.Gpus)
 }
 
-// estimate learns how far the users' estimates of a class are off.
+// estimate learns how long the tasks of a class run, and how much the users'
+// estimates say of that: a straight line through the logarithms of both. Where
+// estimates are wild the line is flat, and the class's usual time counts.
 type estimate struct {
-	ratio float64
-	n     int
+	n, x, y, xx, xy float64 // decayed sums; x is the estimate, y the time it took
+	took            float64 // seconds, on average
 }
 
-const estimateWeight = 0.2
+const (
+	estimateDecay = 0.998 // each task that ends leaves that much of those before
+	minEstimates  = 5
+)
 
-// runTime is the expected run time of a task, corrected by what tasks of its
-// class took.
+// runTime is the expected run time of a task, by what tasks of its class took.
 func (l *leader) runTime(s *meshpb.JobDemand) time.Duration {
-	f := 1.0
-	if e := l.est[s.Class]; e != nil && e.n >= 5 {
-		f = e.ratio
+	e := l.est[s.Class]
+	if e == nil || e.n < minEstimates || s.EstimateS <= 0 {
+		return seconds(s.EstimateS)
+	}
+	mx, my := e.x/e.n, e.y/e.n
+	slope := 1.0
+	if spread := e.xx/e.n - mx*mx; spread > 1e-6 {
+		slope = math.Min(1, math.Max(0, (e.xy/e.n-mx*my)/spread))
+	}
+	return seconds(math.Exp(my + slope*(math.Log(s.EstimateS)-mx)))
+}
+
+// usualTime is how long a task of a class runs on average, or what is expected
+// of the given job while that is not known.
+func (l *leader) usualTime(s *meshpb.JobDemand) time.Duration {
+	if e := l.est[s.Class]; e != nil && e.n >= minEstimates {
+		return seconds(e.took / e.n)
 	}
-	return seconds(s.EstimateS * f)
+	return l.runTime(s)
 }
 
 func (l *leader) learn(s *meshpb.JobDemand, took time.Duration) {
-	if s.EstimateS <= 0 {
+	if s.EstimateS <= 0 || took <= 0 {
 		return
 	}
-	ratio := math.Min(4, math.Max(0.25, took.Seconds()/s.EstimateS))
 	e := l.est[s.Class]
 	if e == nil {
-		e = &estimate{ratio: ratio}
+		e = &estimate{}
 		l.est[s.Class] = e
 	}
-	e.n++
-	w := math.Max(estimateWeight/4, 1/float64(e.n))
-	e.ratio += (ratio - e.ratio) * w
+	x, y := math.Log(s.EstimateS), math.Log(took.Seconds())
+	e.n = e.n*estimateDecay + 1
+	e.x = e.x*estimateDecay + x
+	e.y = e.y*estimateDecay + y
+	e.xx = e.xx*estimateDecay + x*x
+	e.xy = e.xy*estimateDecay + x*y
+	e.took = e.took*estimateDecay + took.Seconds()
 }
