Reports stand in a line of their own; files parted by what they own

A health check, a user or another member does not wait behind two thousand reports after a restart, and a report whose worker has given up costs nothing more.

--- a/cmd/cobaltvale/serve.go
+++ b/cmd/cobaltvale/serve.go
@@ -67,8 +67,9 @@
 func serve(file *settings.File, tune settings.Tuning, log zerolog.Logger, incarnation uint64, start time.Time) error {
 	loop := transport.NewLoop(paceEvery)
 	queue := coordination.NewQueue()
+	clock := steadyClock{start}
 	core, err := coordination.New(file, tune, coordination.Env{
-		Clock: steadyClock{start},
+		Clock: clock,
 		Wall:  time.Now,
 		Rand:  rand.New(rand.NewPCG(rand.Uint64(), incarnation)),
 		State: caller{transport.NewHTTPClient(loop, file.External.State, stateConns, clientQueue), queue},
@@ -92,12 +93,17 @@
 		IdleTimeout: 2 * time.Minute,
 		ReadTimeout: 15 * time.Second,
 	}, func(req *transport.Request, reply func(transport.Response)) {
-		queue.Post(func() {
-			core.HandleHTTP(&coordination.Request{Method: req.Method, Path: req.Path, Body: req.Body, Conn: req.Conn},
-				func(r coordination.Response) {
-					reply(transport.Response{Status: r.Status, Body: r.Body, RetryAfterS: r.RetryAfterS})
-				})
-		})
+		r := &coordination.Request{Method: req.Method, Path: req.Path, Body: req.Body, Conn: req.Conn, At: clock.Now()}
+		handle := func() {
+			core.HandleHTTP(r, func(r coordination.Response) {
+				reply(transport.Response{Status: r.Status, Body: r.Body, RetryAfterS: r.RetryAfterS})
+			})
+		}
+		if r.IsReport() {
+			queue.PostReport(handle)
+			return
+		}
+		queue.Post(handle)
 	})
 	mesh.Start()
 	var ended error
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -6,26 +6,48 @@
 	"time"
 )
 
-// BenchmarkBusyFleet plays a second of three controllers with 44 machines that
-// report every second and a long queue; profile it with -cpuprofile.
+// BenchmarkBusyFleet plays a second of three controllers with a fleet whose
+// machines report every second and a long queue; profile it with -cpuprofile.
+// Divided by the machines it is the cost of a report, with all that goes with
+// it: passing on, offers, picks, finished tasks.
 func BenchmarkBusyFleet(b *testing.B) {
-	w := newWorld(b, "a", "b", "c")
-	for i := range 44 {
-		w.worker(fmt.Sprintf("vm-%d", i), []string{"z1", "z2"}[i%2])
-	}
-	w.run(3 * time.Second)
-	jobs := 0
-	for b.Loop() {
-		for range 2 {
-			jobs++
-			n := w.nodes[w.names[jobs%3]]
-			if r := n.submit(form(fmt.Sprintf("wk-%d", jobs), 10)); r.Status != 201 {
-				b.Fatalf("submission was answered %d", r.Status)
+	for _, size := range []struct {
+		name                  string
+		machines, jobs, tasks int
+		crew                  string
+	}{
+		{"earlier", 44, 60, 10, "blue"},
+		{"presses", 640, 200, 150, "red"}, // a team with a limit
+		{"birds", 2060, 400, 60, "blue"},
+	} {
+		b.Run(size.name, func(b *testing.B) {
+			w := newWorld(b, "a", "b", "c")
+			for i := range size.machines {
+				k := w.worker(fmt.Sprintf("vm-%d", i), []string{"z1", "z2"}[i%2])
+				k.takes, k.vary = 20*time.Second, 2*time.Second
+			}
+			w.run(3 * time.Second)
+			jobs := 0
+			submit := func() {
+				jobs++
+				n := w.nodes[w.names[jobs%3]]
+				f := form(fmt.Sprintf("wk-%d", jobs), size.tasks).with("crew", size.crew).with("plate", fmt.Sprint("img-", jobs%16))
+				if r := n.submit(f); r.Status != 201 && r.Status != 0 {
+					b.Fatalf("submission was answered %d", r.Status)
+				}
+			}
+			for range size.jobs {
+				submit()
+				w.advance(50 * time.Millisecond)
+			}
+			w.run(2 * time.Second)
+			for b.Loop() {
+				for range 2 {
+					submit()
+				}
+				w.run(time.Second)
 			}
-		}
-		w.run(time.Second)
-		for i := range 4 {
-			w.workers[fmt.Sprintf("vm-%d", (jobs+i*11)%44)].finish("done")
-		}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*size.machines), "µs/report")
+		})
 	}
 }
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -38,9 +38,15 @@
 type Request struct {
 	Method, Path string
 	Body         []byte
-	Conn         uint64 // the connection that it came on; 0: not known
+	Conn         uint64        // the connection that it came on; 0: not known
+	At           time.Duration // when it came; 0: just now
 }
 
+// IsReport tells whether a request is a worker's report.
+func (r *Request) IsReport() bool { return r.Path == reportPath }
+
+const reportPath = "/checkin"
+
 // Response is its answer.
 type Response struct {
 	Status      int
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -4,8 +4,11 @@
 
 // Queue is the command queue of a core: everything that touches its state is
 // a command on it, drained in batches by the one goroutine that runs Run.
+// Workers' reports wait in a line of their own: when they all come at once,
+// health checks, users and the other members do not stand behind them.
 type Queue struct {
 	commands chan func()
+	reports  chan func()
 	stop     chan struct{}
 }
 
@@ -17,14 +20,19 @@
 
 // NewQueue makes an empty queue.
 func NewQueue() *Queue {
-	return &Queue{commands: make(chan func(), queueLength), stop: make(chan struct{})}
+	return &Queue{commands: make(chan func(), queueLength), reports: make(chan func(), queueLength), stop: make(chan struct{})}
 }
 
 // Post adds a command. It waits while the queue is full, which holds back
 // the event loop that brings more.
-func (q *Queue) Post(fn func()) {
+func (q *Queue) Post(fn func()) { q.post(q.commands, fn) }
+
+// PostReport adds a command that lets all others pass.
+func (q *Queue) PostReport(fn func()) { q.post(q.reports, fn) }
+
+func (q *Queue) post(to chan func(), fn func()) {
 	select {
-	case q.commands <- fn:
+	case to <- fn:
 	case <-q.stop:
 	}
 }
@@ -46,9 +54,13 @@
 		case fn := <-q.commands:
 			fn()
 			q.drain()
+		case fn := <-q.reports:
+			q.drain()
+			fn()
+			q.drain()
 		}
 		core.EndBatch()
-		if len(q.commands) == 0 {
+		if len(q.commands)+len(q.reports) == 0 {
 			rest()
 		}
 	}
@@ -59,6 +71,12 @@
 		select {
 		case fn := <-q.commands:
 			fn()
+			continue
+		default:
+		}
+		select {
+		case fn := <-q.reports:
+			fn()
 		default:
 			return
 		}
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -154,6 +154,10 @@
 func (c *Core) checkin(req *Request, reply func(Response)) {
 	r := &c.relay
 	r.taken++
+	if req.At > 0 && c.now()-req.At > relayTimeout {
+		reply(c.refusal(503, "the report has waited for too long", 1)) // its worker has given up
+		return
+	}
 	if c.leader != nil {
 		if to := r.elsewhere(); to != "" {
 			reply(c.sendTo(to))
--- a/internal/coordination/relay_test.go
+++ b/internal/coordination/relay_test.go
@@ -104,3 +104,27 @@
 		t.Fatalf("%d workers were sent elsewhere in one second", most)
 	}
 }
+
+// Reports that all come at once let everything else pass, and one that waited
+// until its worker gave up is answered without any more work.
+func TestReportsLetOthersPass(t *testing.T) {
+	q := NewQueue()
+	var got []string
+	for range 3 {
+		q.PostReport(func() { got = append(got, "report") })
+	}
+	q.Post(func() { got = append(got, "health check") })
+	q.drain()
+	want(t, "order", fmt.Sprint(got), "[health check report report report]")
+
+	w := newWorld(t, "a")
+	k := w.worker("vm-1", "z1")
+	want(t, "report", k.report().Status, 200)
+	m := w.leader().core.leader.machines.get("vm-1")
+	seq := m.seq
+	out := &Response{}
+	w.nodes["a"].core.HandleHTTP(&Request{Method: "POST", Path: "/checkin", Body: k.body(), Conn: k.conn, At: w.now - 4*time.Second},
+		func(r Response) { *out = r })
+	want(t, "report that waited for 4 s", out.Status, 503)
+	want(t, "last report taken", m.seq, seq)
+}
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -2,13 +2,11 @@
 
 import (
 	"fmt"
-	"math"
 	"sort"
 	"time"
 
 	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
-	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 )
 
 const (
@@ -64,27 +62,6 @@
 	}
 }
 
-// scarce tells whether some job of late can run on no other type than typ.
-func (r *renting) scarce(typ string, now time.Duration) bool {
-	at, ok := r.needs[typ]
-	return ok && now-at < keptFor
-}
-
-// onlyType is the one type that a task fits on, or none if there are several.
-func (r *renting) onlyType(s *meshpb.JobDemand) string {
-	only := ""
-	for name, t := range r.l.c.fleet.types {
-		if !wholeRoom(t).fits(s) || !(s.AnyType || allows(s, variant{name, s.Zone, s.Spot})) {
-			continue
-		}
-		if only != "" {
-			return ""
-		}
-		only = name
-	}
-	return only
-}
-
 func (r *renting) tick(now time.Duration) {
 	types := r.l.c.fleet.types
 	if len(types) == 0 {
@@ -112,204 +89,10 @@
 	}
 }
 
-// settled tells whether a new leader knows the fleet well enough to add to it:
-// it has looked for a while, or there is nothing to be heard of.
-func (r *renting) settled(now time.Duration) bool {
-	if now-r.l.since >= settleIn || r.seq > 0 {
-		return true
-	}
-	if !r.l.roster || r.l.c.fleet.listedAt <= r.l.since {
-		return false
-	}
-	for m := range r.l.machines.all {
-		if !m.gone {
-			return false
-		}
-	}
-	return true
-}
-
-// count notes how many machines each zone has, and which are to come.
-func (r *renting) count(now time.Duration) {
-	r.inZone, r.booting, r.variants = make(map[string]int), make(map[variant]int), r.variants[:0]
-	r.ofType, r.warm = make(map[string]int), r.l.forecast.warm(now)
-	for name, t := range r.l.c.fleet.types {
-		for _, z := range t.Zones {
-			r.variants = append(r.variants, variant{name, z, true}, variant{name, z, false})
-		}
-	}
-	for _, q := range r.requests {
-		r.ofType[q.v.typ] += q.Count
-	}
-	sort.Slice(r.variants, func(i, k int) bool {
-		a, b := r.variants[i], r.variants[k]
-		if a.spot != b.spot {
-			return a.spot
-		}
-		return a.typ < b.typ || (a.typ == b.typ && a.zone < b.zone)
-	})
-	for m := range r.l.machines.all {
-		if m.gone {
-			continue
-		}
-		r.inZone[m.zone]++
-		if r.l.usable(m, now) || (m.comes() && !m.leaving) {
-			r.ofType[m.typ]++
-		}
-		if t := r.l.c.fleet.types[m.typ]; t != nil && !m.leaving && m.comes() && now-m.rentedAt < r.bootLimit(t) {
-			r.booting[m.variant]++
-		}
-	}
-}
-
-// supply is a machine, there or to come, with its free room.
-type supply struct {
-	m    *machine
-	room room
-}
-
-// supplies lists by variant what has room now or soon, the fullest first.
-func (r *renting) supplies(now time.Duration) map[variant][]*supply {
-	out := make(map[variant][]*supply)
-	least := room{cpus: math.Inf(1)}
-	for _, j := range r.l.demand.jobs {
-		least.cpus = math.Min(least.cpus, j.spec.Cpus)
-	}
-	for m := range r.l.machines.all {
-		t := r.l.c.fleet.types[m.typ]
-		if t == nil || m.gone || m.leaving || m.sick {
-			continue
-		}
-		m.kept = false
-		free := room{}
-		switch {
-		case r.l.usable(m, now):
-			free = r.soonFree(m, t, now)
-		case m.comes() && now-m.rentedAt < r.bootLimit(t):
-			free = wholeRoom(t)
-		}
-		if free.cpus > 0 && free.cpus >= least.cpus {
-			out[m.variant] = append(out[m.variant], &supply{m: m, room: free})
-		}
-	}
-	for _, q := range r.requests {
-		if t := r.l.c.fleet.types[q.v.typ]; t != nil {
-			for range q.Count {
-				out[q.v] = append(out[q.v], &supply{room: wholeRoom(t)})
-			}
-		}
-	}
-	for _, list := range out {
-		sort.SliceStable(list, func(i, k int) bool { return list[i].room.cpus < list[k].room.cpus })
-	}
-	return out
-}
-
-// lack is how many of a job's tasks find no room on machines there or to come.
-type lack struct {
-	job *leaderJob
-	n   int
-}
-
-// match gives the waiting tasks, in the order of service, the room that there
-// is, and marks the machines that they can use.
-func (r *renting) match(have map[variant][]*supply, now time.Duration) []lack {
-	wall := r.l.c.env.Wall().UnixMilli()
-	var out []lack
-	rest := make([]lack, 0, len(r.l.demand.jobs))
-	for _, j := range r.l.demand.jobs {
-		n := r.wanted(j, wall)
-		if short := r.place(j, n, have); short > 0 {
-			out = append(out, lack{j, short})
-		} else if all := j.unserved() - n; all > 0 {
-			rest = append(rest, lack{j, all})
-		}
-	}
-	for _, k := range rest {
-		r.place(k.job, k.n, have)
-	}
-	return out
-}
-
-// place takes room for n tasks of a job and returns how many found none.
-func (r *renting) place(j *leaderJob, n int, have map[variant][]*supply) int {
-	for _, v := range r.variants {
-		list := have[v]
-		if n == 0 {
-			break
-		}
-		if !allows(j.spec, v) || r.l.keptForOthers(j, v.typ) {
-			continue
-		}
-		full := 0
-		for _, s := range list {
-			if n == 0 {
-				break
-			}
-			for n > 0 && s.room.fits(j.spec) {
-				s.room.take(j.spec)
-				n--
-				if s.m != nil {
-					s.m.kept = true
-				}
-			}
-			if s.room.cpus <= 0 {
-				full++
-			}
-		}
-		if full > len(list)/2 {
-			kept := list[:0]
-			for _, s := range list {
-				if s.room.cpus > 0 {
-					kept = append(kept, s)
-				}
-			}
-			have[v] = kept
-		}
-	}
-	return n
-}
-
-// soonFree is the room a machine has free by the time that another one, were
-// it rented now, would usually be up.
-func (r *renting) soonFree(m *machine, t *protocol.MachineType, now time.Duration) room {
-	free := m.free
-	for i := range m.tasks {
-		p := &m.tasks[i]
-		if p.state != protocol.TaskRunning || !p.known() {
-			continue
-		}
-		if left := r.l.runTime(p.job.spec) - (now - p.since); left < seconds(t.BootS) && left > -seconds(t.BootS) {
-			free.give(p.job.spec)
-		}
-	}
-	return free
-}
-
 func (r *renting) bootLimit(t *protocol.MachineType) time.Duration {
 	return seconds(t.BootS*bootFactor) + bootGrace
 }
 
-// wanted is how many of a job's waiting tasks should have room soon. Urgent
-// work wants all at once; other work may take turns on the same machines as
-// long as its deadline leaves time for that.
-func (r *renting) wanted(j *leaderJob, wallMs int64) int {
-	n := max(0, j.waiting-j.offered)
-	if j.team.cfg.CPUsMax > 0 && j.spec.Cpus > 0 {
-		n = min(n, int(math.Max(0, j.team.cfg.CPUsMax-j.team.cpus)/j.spec.Cpus))
-	}
-	if j.prio >= protocol.PriorityHigh || j.spec.DeadlineMs == 0 || n == 0 {
-		return n
-	}
-	run := r.l.runTime(j.spec).Seconds()
-	slack := float64(j.spec.DeadlineMs-wallMs)/1000 - run
-	if slack <= run || run <= 0 {
-		return n
-	}
-	waves := 1 + slack*waveShare/run
-	return min(n, max(0, int(math.Ceil(float64(n+j.located)/waves))-j.located))
-}
-
 // rent asks for machines for the waiting tasks that no machine, there or to
 // come, has room for.
 func (r *renting) rent(lacking []lack, have map[variant][]*supply, now time.Duration) {
@@ -351,79 +134,11 @@
 	r.resend(now)
 }
 
-// keepWarm asks for machines for work that is to come: the cheapest kinds, and
-// no ordinary ones, which cost several times as much.
-func (r *renting) keepWarm(ask map[variant]int, left int, now time.Duration) {
-	for _, v := range r.variants {
-		for v.spot && left > 0 && r.refused[v] <= now && r.ofType[v.typ] < r.warm[v.typ] {
-			ask[v]++
-			r.ofType[v.typ]++
-			left--
-		}
-	}
-}
-
 // perTick is how many machines can be asked for in a second.
 func (r *renting) perTick() int {
 	return maxRent * max(1, int(r.l.c.cfg.Settings.Cloud.RPS*leaderShare))
 }
 
-// best chooses what to rent for a task: the cheapest by the room the task
-// takes, and of equals the zone with fewer machines.
-func (r *renting) best(j *leaderJob, now time.Duration, ask map[variant]int) (variant, bool) {
-	s := j.spec
-	inZone := func(zone string) int {
-		n := r.inZone[zone]
-		for v, k := range ask {
-			if v.zone == zone {
-				n += k
-			}
-		}
-		return n
-	}
-	var best variant
-	found, bestCost, bestCount := false, 0.0, 0
-	for name, t := range r.l.c.fleet.types {
-		if !wholeRoom(t).fits(s) || r.l.keptForOthers(j, name) {
-			continue
-		}
-		part := math.Max(s.Cpus/math.Max(t.CPUs, 1e-9), s.MemoryGb/math.Max(t.MemoryGB, 1e-9))
-		if t.GPUs > 0 {
-			part = math.Max(part, s.Gpus/t.GPUs)
-		}
-		for _, z := range t.Zones {
-			for _, spot := range []bool{true, false} {
-				v := variant{name, z, spot}
-				if r.refused[v] > now || !allows(s, v) {
-					continue
-				}
-				cost := t.Price * part
-				if spot {
-					cost = t.SpotPrice * part
-				}
-				count := inZone(z)
-				if !found || cost < bestCost-1e-12 || (cost <= bestCost+1e-12 && count < bestCount) {
-					best, found, bestCost, bestCount = v, true, cost, count
-				}
-			}
-		}
-	}
-	return best, found
-}
-
-// available tells whether a machine for a job's tasks can be had or is to come.
-func (r *renting) available(j *leaderJob, now time.Duration) bool {
-	if _, ok := r.best(j, now, nil); ok || now-r.l.since < settleIn {
-		return true
-	}
-	for v, n := range r.booting {
-		if n > 0 && allows(j.spec, v) {
-			return true
-		}
-	}
-	return false
-}
-
 // resend sends the requests that wait for an answer.
 func (r *renting) resend(now time.Duration) {
 	for _, q := range r.requests {
--- /dev/null
+++ b/internal/coordination/tasks.go
@@ -0,0 +1,358 @@
+package coordination
+
+import (
+	"math"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+)
+
+// place is where the owner knows a task to be (the paper's OnNode and
+// InTransition, section 4.2), with what lies before and after.
+type place uint8
+
+const (
+	waiting   place = iota // no copy exists anywhere
+	unplaced               // recovered: a copy may be on any machine
+	inTransit              // a start was handed to a machine's answer
+	onMachine              // the machine's report lists it
+	cooling                // failed; waits for its pause to end
+	completed              // its result is there but not yet written
+	written                // its end is durable
+)
+
+// task is one task's supervision state (the paper's SupervisedTaskState).
+type task struct {
+	place   place
+	running bool
+	machine int32
+	attempt uint64 // replica number of the copy that counts
+	session uint64 // of the report whose answer carried the start
+	seq     uint64
+	readyAt time.Duration // cooling
+}
+
+type taskRef struct {
+	job  *ownedJob
+	task int32
+}
+
+func (o *owner) setHeld(m int32, refs []taskRef) {
+	if len(refs) == 0 {
+		delete(o.held, m)
+		return
+	}
+	o.held[m] = refs
+}
+
+// locate notes that a copy of a task is on its way to, or on, a machine.
+func (o *owner) locate(j *ownedJob, i int32, m int32, p place) {
+	t := &j.tasks[i]
+	switch t.place {
+	case waiting:
+		j.nWait--
+		j.nLoc++
+	case cooling:
+		j.nLoc++
+	case unplaced:
+		j.ledger.stillUn--
+	case inTransit, onMachine:
+		if t.machine == m {
+			t.place = p
+			return
+		}
+		o.unhold(j, i)
+	default:
+		return
+	}
+	t.place, t.machine = p, m
+	o.held[m] = append(o.held[m], taskRef{j, i})
+	if j.zones != nil {
+		j.zones[o.c.stream.zoneOf(m)]++
+	}
+	o.touch(j)
+}
+
+func (o *owner) unhold(j *ownedJob, i int32) {
+	t := &j.tasks[i]
+	refs := o.held[t.machine]
+	for k, r := range refs {
+		if r.job == j && r.task == i {
+			refs[k] = refs[len(refs)-1]
+			o.setHeld(t.machine, refs[:len(refs)-1])
+			break
+		}
+	}
+	if j.zones != nil {
+		j.zones[o.c.stream.zoneOf(t.machine)]--
+	}
+}
+
+// lift takes a located task off wherever it was: the caller has proof that no
+// copy of it is left.
+func (o *owner) lift(j *ownedJob, i int32) {
+	t := &j.tasks[i]
+	switch t.place {
+	case unplaced:
+		j.ledger.stillUn--
+	case inTransit, onMachine:
+		o.unhold(j, i)
+	default:
+		return
+	}
+	o.setRunning(j, i, false)
+	j.nLoc--
+	o.touch(j)
+}
+
+func (o *owner) setRunning(j *ownedJob, i int32, running bool) {
+	t := &j.tasks[i]
+	if t.running != running {
+		t.running = running
+		if running {
+			j.nRun++
+		} else {
+			j.nRun--
+		}
+	}
+}
+
+// requeue makes a task that has no copy left wait for its next replica.
+func (o *owner) requeue(j *ownedJob, i int32) {
+	j.tasks[i].place = waiting
+	j.nWait++
+	j.queue = append(j.queue, i)
+	o.touch(j)
+}
+
+// lost replicates a task whose copy is proven gone.
+func (o *owner) lost(j *ownedJob, i int32) {
+	o.lift(j, i)
+	o.requeue(j, i)
+}
+
+func (o *owner) machineGone(m int32) {
+	refs := append([]taskRef(nil), o.held[m]...)
+	for _, r := range refs {
+		o.lost(r.job, r.task)
+	}
+}
+
+// settled puts every recovered task that no machine listed back in line.
+func (o *owner) settled(l *ownedLedger) {
+	if l.stillUn == 0 {
+		return
+	}
+	for _, j := range l.jobs {
+		for i := range j.tasks {
+			if j.tasks[i].place == unplaced {
+				o.lost(j, int32(i))
+			}
+		}
+	}
+}
+
+// reported takes what the leader passes on of a machine. Only a current report
+// tells what is on it: it was sent by a worker that follows the present leader,
+// so that what it does not list is gone. One of a later session, however old,
+// proves that all that the machine held before is gone.
+func (o *owner) reported(m int32, r *meshpb.Report) {
+	whole := r.Current && !r.Same
+	var listed map[taskRef]bool
+	if whole && len(r.Tasks) > 0 {
+		listed = make(map[taskRef]bool, len(r.Tasks))
+		for _, s := range r.Tasks {
+			j := o.jobs[s.Job]
+			if _, over := o.c.users.finals[s.Job]; j == nil && over {
+				// The leader should know that the job is over; in case it does
+				// not, what is left of it must still go (ran_cancelled).
+				o.c.stream.order(m, s.Job, s.Task, s.Attempt, protocol.TaskState(s.State) == protocol.TaskExited)
+			}
+			if j == nil || int(s.Task) >= len(j.tasks) {
+				continue
+			}
+			i := int32(s.Task)
+			if t := &j.tasks[i]; s.Attempt == t.attempt || t.place == unplaced {
+				listed[taskRef{j, i}] = true
+			}
+			o.listed(j, i, m, r.Session, s)
+		}
+	}
+	refs := o.held[m]
+	for k := len(refs) - 1; k >= 0; k-- {
+		ref := refs[k]
+		t := &ref.job.tasks[ref.task]
+		switch {
+		case r.Session > t.session:
+		case !r.Current || listed[ref]:
+			continue
+		case t.place == onMachine && !whole:
+			continue // listed as it was before
+		case t.place == inTransit && (r.Session < t.session || r.Seq <= t.seq):
+			continue // sent before the start was
+		}
+		o.lost(ref.job, ref.task)
+	}
+}
+
+// listed takes one listed task.
+func (o *owner) listed(j *ownedJob, i int32, m int32, session uint64, s *meshpb.TaskState) {
+	t := &j.tasks[i]
+	exited := protocol.TaskState(s.State) == protocol.TaskExited
+	clear := func() { o.c.stream.order(m, j.id, s.Task, s.Attempt, exited) }
+	if j.ending != "" && t.place != written {
+		// The leader clears machines of jobs that are over.
+		return
+	}
+	switch t.place {
+	case written:
+		clear()
+		return
+	case completed:
+		// Its own copy stays listed until the result is written.
+		if s.Attempt != t.attempt {
+			clear()
+		}
+		return
+	case unplaced:
+		if exited && protocol.Why(s.Why) != protocol.WhyDone {
+			// An older copy that ended says nothing of a newer one, which
+			// may run on a machine that has not been heard of yet.
+			clear()
+			return
+		}
+		t.attempt = s.Attempt
+		j.ledger.tries = max(j.ledger.tries, s.Attempt)
+		o.locate(j, i, m, onMachine)
+		t.session = session
+	case waiting, cooling:
+		// Every copy was proven gone, or this is a late list of one.
+		clear()
+		return
+	case inTransit, onMachine:
+		if s.Attempt != t.attempt || t.machine != m {
+			// Not the replica that counts: its result is ignored.
+			if s.Attempt < t.attempt || t.machine != m {
+				clear()
+			}
+			return
+		}
+		o.locate(j, i, m, onMachine)
+		t.session = session
+	}
+	if !exited {
+		o.setRunning(j, i, protocol.TaskState(s.State) != protocol.TaskFetching)
+		return
+	}
+	switch protocol.Why(s.Why) {
+	case protocol.WhyDone:
+		o.lift(j, i)
+		j.fails = 0
+		t.place = completed
+		j.nDone++
+		o.finishTask(j, i)
+	case protocol.WhyError:
+		o.lift(j, i)
+		clear()
+		j.fails++
+		t.place = cooling
+		t.readyAt = o.c.now() + failPause(j.fails)
+		j.cool = append(j.cool, i)
+	case protocol.WhyNoRoom, protocol.WhyBusy, protocol.WhyUnknown:
+		o.lift(j, i)
+		clear()
+		t.place = cooling
+		t.readyAt = o.c.now() + time.Second
+		j.cool = append(j.cool, i)
+	default:
+		clear()
+		o.lost(j, i)
+	}
+}
+
+// failPause grows with the failures of a job in a row, so that one submitted
+// with a mistake does not keep machines busy.
+func failPause(fails int) time.Duration {
+	return time.Duration(math.Min(60, 0.5*math.Pow(1.5, float64(min(fails, 20)))) * float64(time.Second))
+}
+
+// finishTask has a finished task written, or the whole job when it was the
+// last one.
+func (o *owner) finishTask(j *ownedJob, i int32) {
+	o.touch(j)
+	if j.nDone == len(j.tasks) {
+		o.checkEnd(j)
+		return
+	}
+	j.ledger.book.TaskDone(j.spec, int(i), func() {
+		if t := &j.tasks[i]; t.place == completed {
+			t.place = written
+			j.nWrit++
+			o.c.stream.order(t.machine, j.id, uint32(i), t.attempt, true)
+		}
+	})
+}
+
+func (o *owner) checkEnd(j *ownedJob) {
+	if j.nDone == len(j.tasks) {
+		o.end(j, protocol.StatusDone)
+	}
+}
+
+// pick chooses up to n waiting tasks of a job for a machine.
+func (o *owner) pick(j *ownedJob, n int, m int32, zone string, session, seq uint64) []*meshpb.Pick {
+	var picks []*meshpb.Pick
+	if j.ending != "" || !j.ledger.joined {
+		return nil
+	}
+	for len(picks) < n && len(j.queue) > 0 {
+		i := j.queue[0]
+		t := &j.tasks[i]
+		if t.place != waiting {
+			j.queue = j.queue[1:]
+			continue
+		}
+		if !j.zoneAllows(zone) {
+			break
+		}
+		j.queue = j.queue[1:]
+		j.ledger.tries++
+		t.attempt, t.session, t.seq = j.ledger.tries, session, seq
+		o.locate(j, i, m, inTransit)
+		picks = append(picks, &meshpb.Pick{Job: j.id, Task: uint32(i), Attempt: t.attempt})
+	}
+	return picks
+}
+
+// zoneAllows keeps the promises of together and apart, given where the job's
+// other tasks are. While some may be anywhere, nothing is placed.
+func (j *ownedJob) zoneAllows(zone string) bool {
+	if j.zones == nil {
+		return true
+	}
+	known := 0
+	for z, n := range j.zones {
+		known += n
+		if j.spec.OneZone && n > 0 && z != zone {
+			return false
+		}
+	}
+	if known != j.nLoc {
+		return false
+	}
+	return !j.spec.Spread || j.zones[zone]+1 <= (j.spec.Tasks+1)/2
+}
+
+// putBack returns picks that were never sent.
+func (o *owner) putBack(picks []*meshpb.Pick) {
+	for _, p := range picks {
+		j := o.jobs[p.Job]
+		if j == nil || int(p.Task) >= len(j.tasks) {
+			continue
+		}
+		if t := &j.tasks[p.Task]; t.place == inTransit && t.attempt == p.Attempt {
+			o.lost(j, int32(p.Task))
+		}
+	}
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -146,7 +146,7 @@
 		if need("GET") {
 			c.users.ready(reply)
 		}
-	case path == "/checkin":
+	case path == reportPath:
 		if need("POST") {
 			c.checkin(req, reply)
 		}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -453,6 +453,9 @@
 
 // checkAlone is the rule ran_twice.
 func (w *world) checkAlone(task string, on *worker) {
+	if _, bench := w.t.(*testing.B); bench {
+		return // it would cost more than what is measured
+	}
 	for _, k := range w.workers {
 		for _, t := range k.tasks {
 			if t.name == task && t.state != "ended" {
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -297,21 +297,20 @@
 	return true
 }
 
-// drop reports the link as down before its connection has closed, so that
-// the stream which replaces it never overlaps it.
+// drop ends a link that another replaces. It is reported as down before its
+// connection has closed, so that the streams never overlap.
 func (l *MeshLink) drop() {
-	l.mu.Lock()
-	first := l.up && !l.closed
-	l.closed = true
-	l.mu.Unlock()
-	if first {
-		l.mesh.events.MeshDown(l)
-	}
+	l.down()
 	l.Close()
 }
 
 func (l *MeshLink) onClose(gnet.Conn) {
 	l.mesh.forget(l)
+	l.down()
+}
+
+// down reports the link as down, once.
+func (l *MeshLink) down() {
 	l.mu.Lock()
 	first := l.up && !l.closed
 	l.closed = true
