Frames stay within their size however long workers' lists are

Also: a job whose team is gone from the settings no longer ends the leader, and the order of service is worked out anew at most every 50 ms, however much new waits. Each found by reading; the frames and the answers have a test with 40 reports of 1,500 tasks at once, which fails without the bound.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -104,6 +104,7 @@
 	ups         uint64          // streams so far
 	link        Link            // nil while down
 	reports     *meshpb.Reports // gathered for it, see flush
+	listed      int             // tasks in them
 	checkins    []*meshpb.Checkin
 	answers     []*meshpb.CheckinAnswer
 	askedUptime time.Duration
@@ -132,7 +133,7 @@
 // flush sends what has gathered.
 func (p *peer) flush() {
 	r, k, a := p.reports, p.checkins, p.answers
-	p.reports, p.checkins, p.answers = nil, nil, nil
+	p.reports, p.checkins, p.answers, p.listed = nil, nil, nil, 0
 	if p.link == nil {
 		return
 	}
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -9,6 +9,7 @@
 
 const (
 	arrangeEvery = 500 * time.Millisecond // the order changes with time alone
+	arrangeRest  = 50 * time.Millisecond  // however much new waits
 	lookAhead    = 8                      // jobs of one queue that an offer looks at
 	maxFetches   = 8                      // images that an offer considers fetching
 	beginWithin  = 2 * time.Minute        // a job that has not begun by then comes first
@@ -121,7 +122,7 @@
 // arrange puts the jobs that wait in order.
 func (l *leader) arrange(now time.Duration) {
 	d := &l.demand
-	if !d.stale && now-d.at < arrangeEvery {
+	if since := now - d.at; since < arrangeRest || (!d.stale && since < arrangeEvery) {
 		return
 	}
 	d.stale, d.at = false, now
--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -195,6 +195,7 @@
 	// Its new session proves that its tasks are gone, whatever token it bears.
 	deaf.expire()
 	deaf.report()
+	w.advance(tickEvery)
 	other.report()
 	want(t, "running elsewhere", strings.Join(other.running(), " "), "wk-1/0 wk-1/1 wk-2/0 wk-2/1")
 	for range 30 {
@@ -225,6 +226,40 @@
 	want(t, "running elsewhere", len(other.running()), 2)
 }
 
+// Reports with very many tasks, all at once, keep the mesh's frames and the
+// answers within their sizes: a frame that is too large would end the stream.
+func TestVeryLongReports(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	lead, f := w.leader(), w.follower()
+	want(t, "submit", f.submit(form("wk-1", 3000)).Status, 201)
+	var answers []*Response
+	for i := range 40 {
+		k := w.worker(fmt.Sprintf("vm-%d", i), "z1")
+		k.report()
+		for n := range 1500 {
+			name := fmt.Sprintf("wk-1/%d", n)
+			k.tasks[name] = &workerTask{name: name, attempt: uint64(1 + i), state: "ended", why: "halted"}
+		}
+		out := &Response{}
+		lead.core.HandleHTTP(&Request{Method: "POST", Path: "/checkin", Body: k.body(), Conn: k.conn}, func(r Response) { *out = r })
+		answers = append(answers, out)
+	}
+	w.settle()
+	w.advance(time.Second)
+	code, _ := f.abort("wk-1")
+	want(t, "abort", code, 200)
+	for _, name := range w.workerNames() {
+		lead.core.relay.moves = 0 // none is sent elsewhere
+		r := w.workers[name].report()
+		if r.Status != 200 || len(r.Body) > 64<<10 {
+			t.Fatalf("answered %d with %d bytes", r.Status, len(r.Body))
+		}
+	}
+	for _, r := range answers {
+		want(t, "answer", r.Status, 200)
+	}
+}
+
 // A machine that hears again is served again.
 func TestMachineThatHearsAgain(t *testing.T) {
 	w := newWorld(t, "a")
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -166,7 +166,7 @@
 // describe takes a job's description.
 func (l *leader) describe(j *leaderJob, d *meshpb.JobDemand) {
 	used := j.used
-	if j.spec != nil && used > 0 { // what is counted for it was of the old size
+	if j.spec != nil && j.team != nil { // what is counted for it was of the old size
 		j.team.cpus -= float64(used) * j.spec.Cpus
 		j.team.gpus -= float64(used) * j.spec.Gpus
 	}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -12,6 +12,7 @@
 	maxClearing = 300              // stops and forgets in one answer
 	toldEvery   = 10 * time.Second // an unchanged list is passed on whole again
 	tellChunk   = 250              // machines in one frame
+	maxListed   = 5000             // tasks in one frame, but for its last machine's
 )
 
 // answer is a report's answer that waits for its owners' picks.
@@ -219,6 +220,10 @@
 		m.told[s.p.index] = s.stream
 	}
 	out.Reports = append(out.Reports, r)
+	// However long workers' lists are, a frame stays within its size.
+	if s.p.listed += len(r.Tasks); s.p.listed >= maxListed || len(out.Reports) >= tellChunk {
+		s.p.flush()
+	}
 }
 
 // tellAll writes what every machine last listed to a member whose ledger has
@@ -240,9 +245,6 @@
 	for m := range l.machines.all {
 		if m.currentAt > 0 && !m.gone {
 			l.tell(to, m, true, true, now)
-			if len(p.reports.Reports) >= tellChunk {
-				p.flush()
-			}
 		}
 	}
 }
--- a/internal/coordination/stream.go
+++ b/internal/coordination/stream.go
@@ -6,8 +6,11 @@
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 )
 
-// joinChunk is how many jobs go into one frame.
-const joinChunk = 200
+// How many jobs and how many orders go into one frame.
+const (
+	joinChunk  = 200
+	orderChunk = 5000
+)
 
 // stream is the owner's end of the leader's ordered stream: what this process
 // may conclude from it. It lasts as long as its link and its leader's token;
@@ -189,8 +192,8 @@
 
 // flushOrders sends what has gathered.
 func (s *stream) flushOrders() {
-	if len(s.orders) > 0 && s.from != nil {
-		s.from.send(&meshpb.Frame{Body: &meshpb.Frame_Orders{Orders: &meshpb.Orders{Orders: s.orders}}})
+	for rest := s.orders; len(rest) > 0 && s.from != nil; rest = rest[min(len(rest), orderChunk):] {
+		s.from.send(&meshpb.Frame{Body: &meshpb.Frame_Orders{Orders: &meshpb.Orders{Orders: rest[:min(len(rest), orderChunk)]}}})
 	}
 	s.orders = nil
 }
