--- a/internal/coordination/forecast.go
+++ b/internal/coordination/forecast.go
@@ -11,7 +11,9 @@
 const (
 	seenFor     = 150 * time.Second // arrivals that the forecast goes by
 	maxArrivals = 1024
-	minArrivals = 5 // below that nothing is forecast
+	minArrivals = 5                // below that nothing is forecast
+	lately      = 40 * time.Second // what has changed shows in what came since
+	surely      = 2.0              // standard deviations that chance may account for
 )
 
 // forecast sizes the fleet for classes whose starts the users want sooner than
@@ -88,7 +90,7 @@
 		}
 	}
 	f.arrivals = kept
-	type sums struct{ n, mean, variance, share float64 }
+	type sums struct{ n, late, mean, variance, share float64 }
 	by := make(map[string]*sums)
 	span := math.Min(seenFor.Seconds(), (now - f.l.since + settleIn).Seconds())
 	for _, a := range f.arrivals {
@@ -99,6 +101,9 @@
 		}
 		run := f.l.usualTime(a.job).Seconds() + a.fetch
 		s.n++
+		if now-a.at <= lately {
+			s.late++
+		}
 		s.mean += a.machines * run / span
 		s.variance += a.machines * a.machines * run / span
 		s.share = math.Max(s.share, a.share)
@@ -107,8 +112,17 @@
 	for typ, s := range by {
 		if s.n >= minArrivals {
 			z := math.Sqrt2 * math.Erfinv(2*s.share-1)
-			out[typ] = int(math.Ceil(s.mean + math.Max(0, z)*math.Sqrt(s.variance)))
+			f := change(s.n/span, s.late)
+			out[typ] = int(math.Ceil(f*s.mean + math.Max(0, z)*math.Sqrt(f*s.variance)))
 		}
 	}
 	return out
 }
+
+// change is by how much the rate of arrivals differs by now from what it was
+// on average: as far as what came lately goes beyond chance.
+func change(rate, late float64) float64 {
+	span := lately.Seconds()
+	swing := surely * math.Sqrt(late)
+	return math.Min((late+swing+1)/span, math.Max((late-swing)/span, rate)) / rate
+}
