--- a/internal/coordination/sizing.go
+++ b/internal/coordination/sizing.go
@@ -216,7 +216,7 @@
 		return n
 	}
 	run := r.l.runTime(j.spec).Seconds()
-	slack := float64(j.spec.DeadlineMs-wallMs)/1000 - run
+	slack := float64(j.spec.DeadlineMs-wallMs)/1000 - run - r.lead(j).Seconds()
 	if slack <= run || run <= 0 {
 		return n
 	}
@@ -236,6 +236,21 @@
 	}
 }
 
+// lead is how long a machine that is rented now takes until a job's tasks run on
+// it: it boots and fetches their image.
+func (r *renting) lead(j *leaderJob) time.Duration {
+	least := time.Duration(-1)
+	for _, t := range r.l.c.fleet.types {
+		if !wholeRoom(t).fits(j.spec) {
+			continue
+		}
+		if d := seconds(t.BootS) + fetchTime(j.image, t); least < 0 || d < least {
+			least = d
+		}
+	}
+	return max(0, least)
+}
+
 // best chooses what to rent for a task: the cheapest by the room the task
 // takes, and of equals the zone with fewer machines.
 func (r *renting) best(j *leaderJob, now time.Duration, ask map[variant]int) (variant, bool) {
