Hundreds of machines rented and returned: partly filled requests, older lists

Already held; the test plays 480 machines, requests filled up to 40, and lists that are older than the one before.

--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -435,3 +435,49 @@
 	w.run(5 * time.Second)
 	want(t, "running", strings.Join(k.running(), " "), "wk-3/0 wk-3/1")
 }
+
+// Hundreds of machines are rented and returned within what one request takes,
+// also if requests are filled in part; and a list that is older than the one
+// before neither loses a machine nor brings back one that is gone.
+func TestHundredsOfMachines(t *testing.T) {
+	w := newWorld(t, "a")
+	w.cloud.most = 40
+	n := w.nodes["a"]
+	want(t, "submit", n.submit(form("wk-1", 480).with("vcpus", 8.0).with("ramGb", 60.0)).Status, 201)
+	for s := 0; len(w.cloud.machines) < 480 && s < 200; s++ {
+		w.advance(time.Second)
+	}
+	want(t, "machines rented", len(w.cloud.machines), 480)
+	for _, q := range w.cloud.requests {
+		if q.Count > maxRent {
+			t.Fatalf("a request for %d machines", q.Count)
+		}
+	}
+	w.advance(6 * time.Second)
+	w.boot(2 * time.Second)
+	for range 12 {
+		w.run(time.Second)
+	}
+	w.wantStatus(n, "wk-1", 200, "done")
+	before := append([]cloudMachine(nil), w.cloud.machines...)
+	known := len(n.core.leader.machines.byName)
+	w.cloud.older = before[:100]
+	w.run(5 * time.Second)
+	want(t, "machines known by an older list", len(n.core.leader.machines.byName), known)
+	w.cloud.older = nil
+	w.run(90 * time.Second)
+	want(t, "machines returned", len(w.cloud.released), 480)
+	for _, k := range w.cloud.returns {
+		if k > maxRelease {
+			t.Fatalf("a release of %d machines", k)
+		}
+	}
+	w.cloud.older = before
+	w.run(10 * time.Second)
+	for m := range n.core.leader.machines.all {
+		if !m.gone {
+			t.Fatalf("%s is back by an older list", m.name)
+		}
+	}
+	want(t, "machines rented in all", w.cloud.n, 480)
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -755,6 +755,9 @@
 	more     []protocol.MachineType // besides m8
 	silent   bool                   // carries requests out but gives no answer
 	stuck    bool                   // releases nothing
+	most     int                    // machines that one request fills; 0: all
+	returns  []int                  // names in each release
+	older    []cloudMachine         // listed instead, if not nil
 	n        int
 }
 
@@ -780,7 +783,7 @@
 			return
 		}
 		names, ok := c.answers[q.Request]
-		for i := 0; !ok && i < q.Count; i++ {
+		for i := 0; !ok && i < q.Count && (c.most == 0 || i < c.most); i++ {
 			c.n++
 			name := fmt.Sprintf("vm-9%05d", c.n)
 			names = append(names, name)
@@ -799,6 +802,7 @@
 		if err := c.w.codec.Decode(body, &q); err != nil {
 			c.w.t.Fatal(err)
 		}
+		c.returns = append(c.returns, len(q.Machines))
 		for _, n := range q.Machines {
 			c.released = append(c.released, n)
 			if k := c.w.workers[n]; k != nil {
@@ -815,7 +819,11 @@
 		answer(200, map[string]any{})
 	default:
 		out := protocol.MachineList{Machines: []protocol.ListedMachine{}}
-		for _, m := range c.machines {
+		listed := c.machines
+		if c.older != nil {
+			listed = c.older
+		}
+		for _, m := range listed {
 			if c.w.now-m.at < 6*time.Second {
 				continue // lists lag
 			}
