A dead machine's last list is not told to a ledger's next holder (ran_twice)

Cause: a ledger went back to its member after a cut. The leader still had the last lists of machines whose lease was long over and told the new holder of them; that took the dead copies for those that count, had the live ones stopped, and replicated their tasks while they ran.

Ruled out: late reports (their numbers are older), the relays, answers held by the cut, two holders (the stamp of the first is lower).

Now a list ends with its machine's lease or session, the highest number counts among copies heard of a recovered task, and one that is lost before all machines are accounted for waits for that.

--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -229,12 +229,18 @@
 	count(m.sent)
 }
 
+// leaseOver tells whether a machine's lease has surely ended, whoever answered
+// its worker.
+func (l *leader) leaseOver(m *machine, now time.Duration) bool {
+	return now-max(m.heard, l.since) > l.c.leaseSpan()
+}
+
 // shade notes how much may run on a machine that no owner accounts for:
 // copies of unknown jobs, or whatever is on a machine that has not yet
 // answered to this leader.
 func (l *leader) shade(m *machine, now time.Duration) {
 	dark := room{}
-	if !m.gone && now-max(m.heard, l.since) <= l.c.leaseSpan() {
+	if !m.gone && !l.leaseOver(m, now) {
 		unknown := m.currentAt == 0 && m.record != ""
 		for i := range m.tasks {
 			unknown = unknown || (m.tasks[i].job == nil && m.tasks[i].state != protocol.TaskExited)
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -41,7 +41,9 @@
 	joined  bool // the present leader counts it
 	jobs    map[string]*ownedJob
 	tries   uint64
-	stillUn int // recovered tasks that are not yet settled
+	before  uint64 // copies up to this number were given out by earlier holders
+	settled bool   // no copy of earlier holders is left that is not known of
+	stillUn int    // recovered tasks that may be anywhere
 	creates map[string]*creation
 }
 
@@ -127,6 +129,7 @@
 	})
 	// Replica numbers go up from holder to holder, since stamps do.
 	l.tries = stamp << 20
+	l.before = l.tries
 	o.ledgers[name] = l
 	l.book.Recover(func(jobs []bookkeeping.RecoveredJob) {
 		for i := range jobs {
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -82,6 +82,9 @@
 		l.inherit(m)
 		m.idleSince, m.reached, l.reportAt = now, now, now
 	}
+	if m.reported && r.Session > m.session {
+		l.emptied(m)
+	}
 	m.session, m.seq, m.reported, m.heard = r.Session, r.Seq, true, now
 	if r.Token != l.token {
 		if m.rentedAt != 0 {
@@ -124,6 +127,15 @@
 	return arrives
 }
 
+// emptied notes that a machine's session is over: whatever it listed or was
+// sent in it is gone. Nobody may be told of it any more: who takes a ledger up
+// anew would think that it counts, and that the replica does not (ran_twice).
+func (l *leader) emptied(m *machine) {
+	l.unlist(m)
+	m.tasks, m.sent, m.orders = nil, nil, nil
+	l.measure(m)
+}
+
 // sameList tells whether a report lists what the one before did, and nothing
 // in it was unknown then.
 func (m *machine) sameList(tasks []protocol.ReportedTask) bool {
@@ -227,7 +239,7 @@
 }
 
 // tellAll writes what every machine last listed to a member whose ledger has
-// just joined.
+// just joined. What a machine listed whose lease is over is gone, see emptied.
 func (l *leader) tellAll(p *peer) {
 	now := l.c.now()
 	l.streams++
@@ -243,7 +255,7 @@
 	}
 	to.stream = l.streams
 	for m := range l.machines.all {
-		if m.currentAt > 0 && !m.gone {
+		if m.currentAt > 0 && !m.gone && !l.leaseOver(m, now) {
 			l.tell(to, m, true, true, now)
 		}
 	}
--- a/internal/coordination/tasks.go
+++ b/internal/coordination/tasks.go
@@ -126,9 +126,18 @@
 	o.touch(j)
 }
 
-// lost replicates a task whose copy is proven gone.
+// lost replicates a task whose copy is proven gone. Was it given out by an
+// earlier holder of the ledger, there may be a newer one somewhere, until every
+// machine is accounted for.
 func (o *owner) lost(j *ownedJob, i int32) {
+	t := &j.tasks[i]
 	o.lift(j, i)
+	if !j.ledger.settled && t.attempt <= j.ledger.before {
+		t.place = unplaced
+		j.nLoc++
+		j.ledger.stillUn++
+		return
+	}
 	o.requeue(j, i)
 }
 
@@ -141,6 +150,7 @@
 
 // settled puts every recovered task that no machine listed back in line.
 func (o *owner) settled(l *ownedLedger) {
+	l.settled = true
 	if l.stillUn == 0 {
 		return
 	}
@@ -173,10 +183,10 @@
 				continue
 			}
 			i := int32(s.Task)
-			if t := &j.tasks[i]; s.Attempt == t.attempt || t.place == unplaced {
+			o.listed(j, i, m, r.Session, s)
+			if s.Attempt == j.tasks[i].attempt {
 				listed[taskRef{j, i}] = true
 			}
-			o.listed(j, i, m, r.Session, s)
 		}
 	}
 	refs := o.held[m]
@@ -216,6 +226,10 @@
 		}
 		return
 	case unplaced:
+		if s.Attempt < t.attempt {
+			clear() // a newer one was proven gone already
+			return
+		}
 		if exited && protocol.Why(s.Why) != protocol.WhyDone {
 			// An older copy that ended says nothing of a newer one, which
 			// may run on a machine that has not been heard of yet.
@@ -231,7 +245,13 @@
 		clear()
 		return
 	case inTransit, onMachine:
-		if s.Attempt != t.attempt || t.machine != m {
+		if s.Attempt > t.attempt && (!exited || protocol.Why(s.Why) == protocol.WhyDone) {
+			// Of a recovered task an older copy was heard of first. Earlier
+			// holders gave this one out once that was proven gone.
+			o.setRunning(j, i, false)
+			t.attempt = s.Attempt
+			j.ledger.tries = max(j.ledger.tries, s.Attempt)
+		} else if s.Attempt != t.attempt || t.machine != m {
 			// Not the replica that counts: its result is ignored.
 			if s.Attempt < t.attempt || t.machine != m {
 				clear()
