Authority is judged at the sending; promises bind for the own ledger and late claims

Cause: found by going through a standstill step by step. Answers were judged when made, and written up to 40 ms later: a process that stood still in between sent them on waking. A member that had promised not to claim its own ledger took it as soon as the key vanished, and a late claim of the leader key led at once; both left two holders for up to two seconds.

Now answers say how long they hold and the loop judges that as it writes; a request whose time is up is not sent; a fresh process waits for forgotten promises of its own ledger unless no other member can hold one.

Ruled out: beats and promises that are late (counted from the asking), late picks and offers (the offer is closed), transactions (fenced). Tests hold each case; those of the two holders failed before.

--- a/cmd/cobaltvale/serve.go
+++ b/cmd/cobaltvale/serve.go
@@ -89,14 +89,18 @@
 	server := transport.NewServer(transport.ServerConfig{
 		Addr:        file.APIAddr,
 		MaxConns:    sockets - stateConns - cloudConns - 4*len(peers) - min(32, sockets/4),
-		MaxInFlight: 2048,
+		MaxHeld:     int64(file.Settings.Limits.MemMB*float64(1<<20)) / 4,
 		IdleTimeout: 2 * time.Minute,
 		ReadTimeout: 15 * time.Second,
-	}, func(req *transport.Request, reply func(transport.Response)) {
+	}, loop, func(req *transport.Request, reply func(transport.Response)) {
 		r := &coordination.Request{Method: req.Method, Path: req.Path, Body: req.Body, Conn: req.Conn, At: clock.Now()}
 		handle := func() {
 			core.HandleHTTP(r, func(r coordination.Response) {
-				reply(transport.Response{Status: r.Status, Body: r.Body, RetryAfterS: r.RetryAfterS})
+				out := transport.Response{Status: r.Status, Body: r.Body, RetryAfterS: r.RetryAfterS}
+				if r.Until > 0 {
+					out.Until = start.Add(r.Until)
+				}
+				reply(out)
 			})
 		}
 		if r.IsReport() {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -47,11 +47,13 @@
 
 const reportPath = "/checkin"
 
-// Response is its answer.
+// Response is its answer. It may be sent up to Until, or at any time if that is
+// 0: what entitles this node to it ends then.
 type Response struct {
 	Status      int
 	Body        []byte
 	RetryAfterS int
+	Until       time.Duration
 }
 
 // Margins of time.
@@ -108,7 +110,8 @@
 	checkins    []*meshpb.Checkin
 	answers     []*meshpb.CheckinAnswer
 	askedUptime time.Duration
-	younger     bool // its process surely started after this one did
+	dated       bool          // it has answered on this stream
+	born        time.Duration // then: its process started after that, by this one's clock
 	stateOK     bool
 }
 
@@ -281,7 +284,7 @@
 	}
 	p.ups++
 	p.link, p.reports, p.checkins, p.answers = l, nil, nil, nil
-	p.askedUptime, p.younger = c.now(), false
+	p.askedUptime, p.dated = c.now(), false
 	p.send(&meshpb.Frame{Body: &meshpb.Frame_UptimeAsk{UptimeAsk: &meshpb.UptimeAsk{}}})
 	c.byLink[l] = p
 	c.stream.join()
@@ -295,7 +298,7 @@
 	}
 	delete(c.byLink, l)
 	p.link, p.reports, p.checkins, p.answers = nil, nil, nil, nil
-	p.stateOK, p.younger = false, false
+	p.stateOK, p.dated = false, false
 	if c.leader != nil {
 		c.leader.peerGone(p)
 	}
@@ -362,7 +365,8 @@
 	case *meshpb.Frame_Uptime:
 		// It was measured after the question went out, however late either
 		// was on its way.
-		p.younger = time.Duration(b.Uptime.Us)*time.Microsecond+promiseDrift < p.askedUptime-c.started
+		up := time.Duration(b.Uptime.Us) * time.Microsecond
+		p.dated, p.born = true, p.askedUptime-up-up/1000-promiseDrift
 	case *meshpb.Frame_PromiseAsk:
 		c.session.onPromiseAsk(p, b.PromiseAsk)
 	case *meshpb.Frame_Checkins:
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -1,8 +1,13 @@
 package coordination
 
 import (
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 )
 
 // What the far larger fleets brought to light. A machine whose lease is over
@@ -114,3 +119,207 @@
 	w.run(3 * time.Second)
 	w.wantStatus(w.nodes["a"], "wk-1", 200, "done")
 }
+
+// A leader that stood still while its clock ran on wakes up with reports and
+// requests from before in its sockets. Its authority has ended: it answers no
+// report, tells nobody an older state, and neither writes nor calls the cloud
+// as a leader. The others have replaced it as fast as after a crash.
+func TestLeaderThatStoodStill(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	k := w.worker("vm-1", "z1")
+	w.run(2 * time.Second)
+	old, owner := w.leader(), w.follower()
+	want(t, "submit", owner.submit(form("wk-1", 2)).Status, 201)
+	want(t, "submit to the leader", old.submit(form("wk-2", 1)).Status, 201)
+	w.run(3 * time.Second)
+	want(t, "running", len(k.running()), 3)
+	early := k.body()
+	old.still = true
+	w.advance(5 * time.Second)
+	if w.leader() == old {
+		t.Fatal("nobody replaces the leader")
+	}
+	w.standStill(old.name, 8*time.Second)
+	w.run(20 * time.Second)
+	k.finish("done")
+	w.run(4 * time.Second)
+	late := k.body()
+	for _, id := range []string{"wk-1", "wk-2"} {
+		w.wantStatus(owner, id, 200, "done")
+	}
+	calls := len(w.cloud.requests) + len(w.cloud.returns)
+	w.state.onTxn = func(from string, txn *protocol.Txn, apply func() bookkeeping.Result, _ func(bookkeeping.Result)) bool {
+		for _, c := range txn.Then {
+			if from == old.name && !strings.HasPrefix(c.Put, bookkeeping.MemberPrefix) {
+				if r := apply(); r.Status == 200 {
+					t.Errorf("%s has changed %s%s", from, c.Put, c.Delete)
+				}
+			}
+		}
+		return false
+	}
+	for _, body := range [][]byte{early, late} {
+		got := old.call("POST", "/checkin", body)
+		if got.Status == 200 || got.Status == 0 {
+			t.Fatalf("a report was answered %d", got.Status)
+		}
+	}
+	for _, id := range []string{"wk-1", "wk-2"} {
+		if code, s := old.poll(id); code == 200 && s.Status != "done" {
+			t.Fatalf("%s was said to be %q", id, s.Status)
+		}
+	}
+	w.goOn(old.name)
+	for range 3 {
+		old.core.Tick()
+		old.core.EndBatch()
+	}
+	want(t, "calls to the cloud", len(w.cloud.requests)+len(w.cloud.returns), calls)
+	w.reconnect(old.name)
+	w.state.onTxn = nil
+	w.run(6 * time.Second)
+	want(t, "its own ledger taken up again", old.core.owner.ledgers[old.name] != nil, true)
+	w.wantStatus(old, "wk-2", 200, "done")
+}
+
+// An owner that stood still finds offers, made before, among its frames. It
+// must give nothing away for them, and its polls come after those that the
+// ledger's new holder has answered.
+func TestOwnerThatStoodStill(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	k1 := w.worker("vm-1", "z1")
+	w.run(2 * time.Second)
+	owner, lead := w.follower(), w.leader()
+	want(t, "submit", owner.submit(form("wk-1", 1)).Status, 201)
+	owner.still = true
+	k1.reportTo(lead) // the offer waits at the owner
+	want(t, "running", len(k1.running()), 0)
+	w.standStill(owner.name, 30*time.Second)
+	want(t, "running for the new holder", len(k1.running()), 1)
+	w.worker("vm-2", "z1")
+	w.goOn(owner.name)
+	if _, s := owner.poll("wk-1"); s.Status == "pending" {
+		t.Fatal("an older state was told")
+	}
+	w.run(2 * time.Second)
+	k1.finish("done")
+	w.run(2 * time.Second)
+	w.wantStatus(lead, "wk-1", 200, "done")
+	if code, s := owner.poll("wk-1"); code == 200 && s.Status != "done" {
+		t.Fatalf("after done it was said to be %q", s.Status)
+	}
+	w.reconnect(owner.name)
+	w.run(4 * time.Second)
+	w.wantStatus(owner, "wk-1", 200, "done")
+}
+
+// In an outage a leader goes on only while every member keeps promising. One
+// that stands still promises nothing, and what it says late, on waking, counts
+// from when it was asked.
+func TestPromiserThatStoodStill(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	k := w.worker("vm-1", "z1")
+	w.run(2 * time.Second)
+	lead, other := w.leader(), w.follower()
+	w.state.away[""] = true
+	w.run(6 * time.Second)
+	want(t, "a report in the outage", k.reportTo(lead).Status, 200)
+	other.still = true
+	w.advance(3 * time.Second)
+	want(t, "a report without all promises", k.reportTo(lead).Status, 503)
+	asked := lead.links[other.name]
+	for i, f := range asked.queue { // only the first question has come through
+		if f.GetPromiseAsk() != nil {
+			asked.queue = asked.queue[i : i+1]
+			break
+		}
+	}
+	want(t, "questions", len(asked.queue), 1)
+	other.still = false
+	w.settle()
+	want(t, "a report after late promises", k.reportTo(lead).Status, 503)
+	w.advance(time.Second)
+	want(t, "a report with fresh promises", k.reportTo(lead).Status, 200)
+}
+
+// A relay that stood still with a leader's answer in hand says up to when it
+// may be sent, and so do a leader and an owner; see also TestNothingLateIsSent.
+func TestAnswersSayHowLongTheyHold(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	k := w.worker("vm-1", "z1")
+	w.run(2 * time.Second)
+	lead, relay := w.leader(), w.follower()
+	began := w.now
+	r := k.reportTo(relay)
+	want(t, "report", r.Status, 200)
+	if r.Until < began || r.Until > began+answerTime {
+		t.Fatalf("a relay's answer holds for %v", r.Until-began)
+	}
+	r = k.reportTo(lead)
+	want(t, "report", r.Status, 200)
+	if r.Until <= w.now || r.Until > w.now+lead.core.tune.StateLease {
+		t.Fatalf("a leader's answer holds for %v", r.Until-w.now)
+	}
+	want(t, "submit", relay.submit(form("wk-1", 1)).Status, 201)
+	r = relay.call("GET", "/submissions/wk-1", nil)
+	want(t, "poll", r.Status, 200)
+	if r.Until <= w.now || r.Until > w.now+relay.core.tune.StateLease {
+		t.Fatalf("an owner's answer holds for %v", r.Until-w.now)
+	}
+}
+
+// A member that has promised not to claim its own ledger, which another holds,
+// must keep to that when the key vanishes: the holder may act until the promise
+// ends.
+func TestPromiseBindsForTheOwnLedger(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.run(2 * time.Second)
+	lead, back := w.leader(), w.follower()
+	w.crash(back.name)
+	w.advance(8 * time.Second)
+	key := bookkeeping.LedgerKey(back.name)
+	want(t, "taken over", lead.core.owner.ledgers[back.name] != nil, true)
+	w.start(back.name)
+	s := &back.core.session
+	for s.self == 0 || !s.viewOK {
+		s.handoverAt = w.now + time.Minute // its request is late
+		w.advance(tickEvery)
+	}
+	s.onPromiseAsk(back.core.peers[lead.name], &meshpb.PromiseAsk{Round: 1, Keys: []*meshpb.HeldKey{{Key: key}}})
+	promised := w.now
+	w.state.rev++
+	w.state.remove(key) // the holder's lease has ended
+	w.state.pumpWatches()
+	for w.now < promised+promiseSpan {
+		w.settle()
+		if back.core.owner.ledgers[back.name] != nil {
+			t.Fatalf("taken %v after the promise", w.now-promised)
+		}
+		w.advance(tickEvery)
+	}
+	w.advance(time.Second)
+	want(t, "taken after the promise", back.core.owner.ledgers[back.name] != nil, true)
+}
+
+// A claim of the leader key that the network held is applied after its sender
+// has promised the key's holder not to claim it. Seeing itself named it must
+// not lead before that promise has ended.
+func TestLateClaimWaitsForThePromise(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.run(2 * time.Second)
+	lead, other := w.leader(), w.follower()
+	s := &other.core.session
+	s.onPromiseAsk(other.core.peers[lead.name], &meshpb.PromiseAsk{Round: 1, Keys: []*meshpb.HeldKey{{Key: bookkeeping.LeaderKey}}})
+	promised := w.now
+	w.state.rev++
+	w.state.keys[bookkeeping.LeaderKey] = &stateKey{value: w.codec.Encode(other.core.me), stamp: w.state.rev, lease: s.lease}
+	s.see(bookkeeping.LeaderKey, w.codec.Encode(other.core.me), w.state.rev, true)
+	for w.now < promised+promiseSpan {
+		if other.core.leader != nil {
+			t.Fatalf("leads %v after the promise", w.now-promised)
+		}
+		w.advance(tickEvery)
+	}
+	w.advance(time.Second)
+	want(t, "leads after the promise", other.core.leader != nil, true)
+}
--- a/internal/coordination/promise.go
+++ b/internal/coordination/promise.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"math"
 	"time"
 
 	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
@@ -49,28 +50,39 @@
 // freeToClaim tells whether no promise, given or perhaps forgotten, binds
 // this member. An earlier process of it cannot have promised anything to
 // processes that started after this one.
-func (p *promises) freeToClaim(c *Core, now time.Duration) bool {
+func (p *promises) freeToClaim(c *Core, now time.Duration) bool { return p.free(c, now, 0) }
+
+// freeToClaimOwn is the same for this member's own ledger. Another member can
+// only have come to hold that as a leader, and some time after it started.
+func (p *promises) freeToClaimOwn(c *Core, now time.Duration) bool {
+	return p.free(c, now, takeoverAfter)
+}
+
+// free tells whether no promise binds this member to processes that started
+// more than the given time before this one.
+func (p *promises) free(c *Core, now, before time.Duration) bool {
 	if now > p.bound {
 		return true
 	}
 	for _, peer := range c.peers {
-		if !peer.younger {
+		if !peer.dated || peer.born <= c.started-before {
 			return false
 		}
 	}
 	return p.fresh
 }
 
-// hold tells whether every other member is bound at present.
-func (p *promises) hold(c *Core, now time.Duration) bool {
-	span := promiseSpan - 2*promiseDrift - actMargin/2
+// until is up to when every other member is bound.
+func (p *promises) until(c *Core) time.Duration {
+	until := time.Duration(math.MaxInt64) // a member alone needs nobody's
 	for name := range c.peers {
 		asked, ok := p.granted[name]
-		if !ok || now >= asked+span {
-			return false
+		if !ok {
+			return 0
 		}
+		until = min(until, asked+promiseSpan-2*promiseDrift-actMargin/2)
 	}
-	return true
+	return until
 }
 
 // askPromises asks for promises once renewals fail.
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -81,7 +81,7 @@
 	for _, a := range f.Answers {
 		if w, ok := r.waiting[a.Id]; ok && w.to == p {
 			delete(r.waiting, a.Id)
-			w.reply(Response{Status: int(a.Status), Body: a.Body, RetryAfterS: int(a.RetryS)})
+			w.reply(Response{Status: int(a.Status), Body: a.Body, RetryAfterS: int(a.RetryS), Until: w.at + relayTimeout})
 		}
 	}
 }
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -347,14 +347,14 @@
 		m.idleSince = now
 	}
 	m.conn = a.conn
-	a.reply(l.answerWith(a.commands))
+	a.reply(l.answerWith(a.commands, min(a.at+answerTime, l.c.session.actsUntil())))
 }
 
-func (l *leader) answerWith(cmds []protocol.Command) Response {
+func (l *leader) answerWith(cmds []protocol.Command, until time.Duration) Response {
 	if cmds == nil {
 		cmds = []protocol.Command{}
 	}
-	return Response{Status: 200, Body: l.c.codec.Encode(protocol.ReportAnswer{Token: l.token, Commands: cmds})}
+	return Response{Status: 200, Body: l.c.codec.Encode(protocol.ReportAnswer{Token: l.token, Commands: cmds}), Until: until}
 }
 
 // giveUp ends an answer that its worker no longer waits for.
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -69,18 +69,29 @@
 	s.promises.init(now)
 }
 
-// leaseHolds tells whether the state lease surely lasts: it is counted from
+// leaseHolds tells whether the state lease surely lasts.
+func (s *session) leaseHolds(now time.Duration) bool { return now < s.leaseUntil() }
+
+// leaseUntil is up to when the state lease surely lasts: it is counted from
 // when its last good renewal was sent.
-func (s *session) leaseHolds(now time.Duration) bool {
-	ttl := time.Duration(float64(s.c.tune.StateLease) / driftFactor)
-	return s.lease != 0 && now < s.goodSent+ttl-actMargin
+func (s *session) leaseUntil() time.Duration {
+	if s.lease == 0 {
+		return 0
+	}
+	return s.goodSent + time.Duration(float64(s.c.tune.StateLease)/driftFactor) - actMargin
 }
 
 // mayAct tells whether the keys attached to the lease are surely still this
-// process's: by the lease, or because every other member has promised not to
-// claim them.
-func (s *session) mayAct(now time.Duration) bool {
-	return s.leaseHolds(now) || (s.lease != 0 && s.promises.hold(s.c, now))
+// process's.
+func (s *session) mayAct(now time.Duration) bool { return now < s.actsUntil() }
+
+// actsUntil is up to when they surely are: by the lease, or because every other
+// member has promised not to claim them.
+func (s *session) actsUntil() time.Duration {
+	if s.lease == 0 {
+		return 0
+	}
+	return max(s.leaseUntil(), s.promises.until(s.c))
 }
 
 // leaderMember is the member that is thought to lead.
@@ -316,7 +327,7 @@
 		}
 		mine := name == s.c.cfg.Member
 		switch {
-		case k.present && k.holder == s.c.me && !mine && !s.promises.freeToClaim(s.c, now):
+		case k.present && k.holder == s.c.me && !s.promises.freeToClaim(s.c, now):
 			// A claim of ours that was applied late; it may have been promised away since.
 		case k.present && k.holder.Member == s.c.cfg.Member:
 			// An earlier process of this member held it; that one is over.
@@ -327,9 +338,9 @@
 				s.handoverAt = now + handoverEvery
 				p.send(&meshpb.Frame{Body: &meshpb.Frame_Handover{Handover: &meshpb.Handover{Ledger: name}}})
 			}
-		case !k.present && mine:
+		case !k.present && mine && s.promises.freeToClaimOwn(s.c, now):
 			s.claim(name, 0)
-		case !k.present && s.c.leader != nil && now-k.since > takeoverAfter && s.promises.freeToClaim(s.c, now):
+		case !k.present && !mine && s.c.leader != nil && now-k.since > takeoverAfter && s.promises.freeToClaim(s.c, now):
 			if p := s.c.peers[name]; p == nil || p.link == nil || now-k.since > 3*takeoverAfter {
 				s.claim(name, 0)
 			}
@@ -396,7 +407,10 @@
 			s.electAt = now
 		}
 	}
-	if now < s.electAt || (!own && !s.promises.freeToClaim(s.c, now)) {
+	// A claim of this very process that was applied late may have been promised
+	// away since; what an earlier one holds cannot have been.
+	earlier := own && k.holder != s.c.me
+	if now < s.electAt || (!earlier && !s.promises.freeToClaim(s.c, now)) {
 		return
 	}
 	s.claiming[bookkeeping.LeaderKey] = true
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -277,7 +277,9 @@
 		// tell it; only a fresh read is sure not to be older than that.
 		return false
 	}
-	reply(c.status(code, id, j.wireStatus(), j.nDone, j.nRun))
+	r := c.status(code, id, j.wireStatus(), j.nDone, j.nRun)
+	r.Until = c.session.actsUntil()
+	reply(r)
 	return true
 }
 
@@ -329,6 +331,7 @@
 
 // ask answers with what a job's owner says, or calls silent.
 func (u *users) ask(id string, code int, ledger string, reply func(Response), silent func()) {
+	asked := u.c.now()
 	u.askOwner(id, ledger, false, func(a *meshpb.Answer) {
 		if a == nil || a.Status != 200 {
 			silent()
@@ -337,7 +340,9 @@
 		if a.State == protocol.StatusDone || a.State == protocol.StatusWithdrawn {
 			u.remember(id, a.State, int(a.Done))
 		}
-		reply(u.c.status(code, id, a.State, int(a.Done), int(a.Running)))
+		r := u.c.status(code, id, a.State, int(a.Done), int(a.Running))
+		r.Until = asked + statusTimeout // what another member has said is older by then
+		reply(r)
 	})
 }
 
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -39,6 +39,7 @@
 	name  string
 	core  *Core
 	up    bool
+	still bool // it stands still: nothing of it runs, what comes for it waits
 	links map[string]*fakeLink
 }
 
@@ -165,6 +166,38 @@
 	}
 }
 
+// standStill stops a process while its clock runs on. After four seconds the
+// others take its silence for a cut; what they sent before waits for it.
+func (w *world) standStill(name string, d time.Duration) {
+	n := w.nodes[name]
+	n.still = true
+	w.run(4 * time.Second)
+	for _, o := range w.names {
+		if o != name && w.nodes[o].up {
+			w.nodes[o].core.LinkDown(w.nodes[o].links[name])
+		}
+	}
+	w.run(d - 4*time.Second)
+}
+
+// goOn lets a process that stood still go on, with all that has waited for it.
+func (w *world) goOn(name string) {
+	w.nodes[name].still = false
+	w.settle()
+}
+
+// reconnect ends the streams of a process that stood still and begins new ones.
+func (w *world) reconnect(name string) {
+	n := w.nodes[name]
+	for _, o := range w.names {
+		if o != name {
+			n.core.LinkDown(n.links[o])
+			w.connect(name, o)
+		}
+	}
+	w.settle()
+}
+
 type fakeLink struct {
 	w      *world
 	to     *node
@@ -201,13 +234,13 @@
 		again = false
 		for _, name := range w.names {
 			n := w.nodes[name]
-			if !n.up {
+			if !n.up || n.still {
 				continue
 			}
 			n.core.EndBatch()
 			for _, o := range w.names {
 				l := n.links[o]
-				if l == nil || len(l.queue) == 0 {
+				if l == nil || len(l.queue) == 0 || l.to.still {
 					continue
 				}
 				f := l.queue[0]
@@ -227,7 +260,7 @@
 		w.now += tickEvery
 		w.state.tick()
 		for _, name := range w.names {
-			if n := w.nodes[name]; n.up {
+			if n := w.nodes[name]; n.up && !n.still {
 				n.core.Tick()
 			}
 		}
@@ -256,7 +289,7 @@
 
 func (w *world) leader() *node {
 	for _, name := range w.names {
-		if n := w.nodes[name]; n.up && n.core.leader != nil && n.core.session.mayAct(w.now) {
+		if n := w.nodes[name]; n.up && !n.still && n.core.leader != nil && n.core.session.mayAct(w.now) {
 			return n
 		}
 	}
@@ -407,7 +440,7 @@
 		return nil
 	}
 	for _, name := range k.w.names {
-		if n := k.w.nodes[name]; n.up && n.core.leader != nil {
+		if n := k.w.nodes[name]; n.up && !n.still && n.core.leader != nil {
 			return k.reportTo(n)
 		}
 	}
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -43,6 +43,7 @@
 	method, path string
 	body         []byte
 	done         func(HTTPResult)
+	until        time.Time
 	timer        *time.Timer
 	conn         *httpConn
 	sent         bool
@@ -63,7 +64,7 @@
 
 // Do sends one request; done is called once, on another goroutine.
 func (h *HTTPClient) Do(method, path string, body []byte, timeout time.Duration, done func(HTTPResult)) {
-	k := &call{method: method, path: path, body: body, done: done}
+	k := &call{method: method, path: path, body: body, done: done, until: time.Now().Add(timeout)}
 	h.mu.Lock()
 	if len(h.queue) >= h.maxQueue {
 		h.mu.Unlock()
@@ -76,9 +77,23 @@
 	h.mu.Unlock()
 }
 
-// pump hands queued calls to idle connections and dials for the rest. The
-// lock is held.
+// pump hands queued calls to idle connections and dials for the rest. A call
+// whose time is up is not sent any more: after a standstill of the process its
+// timer may be later than the connection that it has waited for. The lock is
+// held.
 func (h *HTTPClient) pump() {
+	if now := time.Now(); len(h.queue) > 0 && now.After(h.queue[0].until) {
+		kept := h.queue[:0]
+		for _, k := range h.queue {
+			if now.After(k.until) {
+				go h.finish(k, HTTPResult{Err: fmt.Errorf("timed out: %w", ErrNotSent)})
+			} else {
+				kept = append(kept, k)
+			}
+		}
+		clear(h.queue[len(kept):])
+		h.queue = kept
+	}
 	for len(h.queue) > 0 && len(h.idle) > 0 {
 		hc := h.idle[len(h.idle)-1]
 		h.idle = h.idle[:len(h.idle)-1]
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Limits of one HTTP message.
@@ -218,12 +219,14 @@
 	Conn   uint64 // numbers the connection, from 1
 }
 
-// Response is what it answers with. RetryAfterS is sent when it is above 0.
+// Response is what it answers with. RetryAfterS is sent when it is above 0. An
+// answer that has not been written by Until, unless that is zero, becomes a 503.
 type Response struct {
 	Status      int
 	Body        []byte
 	RetryAfterS int
 	Close       bool
+	Until       time.Time
 }
 
 func statusText(code int) string {
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -194,23 +194,28 @@
 
 // Rest is called when all that the loop took has been dealt with. Under load
 // it sleeps until its next turn, instead of being woken up only to do so.
-func (l *Loop) Rest() {
+func (l *Loop) Rest() { l.run(l.rest) }
+
+func (l *Loop) rest() {
+	if l.busy {
+		l.nap(time.Now())
+	}
+}
+
+// run has the loop call fn, once it has a connection.
+func (l *Loop) run(fn func()) {
 	l.enrol.Lock()
 	el := l.el
 	l.enrol.Unlock()
 	if el != nil {
 		// An error means that the loop has ended.
-		_ = el.Execute(context.Background(), gnet.RunnableFunc(l.rest))
+		_ = el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+			fn()
+			return nil
+		}))
 	}
 }
 
-func (l *Loop) rest(context.Context) error {
-	if l.busy {
-		l.nap(time.Now())
-	}
-	return nil
-}
-
 // OnClose implements gnet.EventHandler.
 func (l *Loop) OnClose(c gnet.Conn, _ error) gnet.Action {
 	if t, ok := c.Context().(connection); ok {
--- a/internal/transport/loopback_test.go
+++ b/internal/transport/loopback_test.go
@@ -24,10 +24,9 @@
 	return l.Addr().String()
 }
 
-// startLoop runs a loop for the services until the test ends.
-func startLoop(t *testing.T, services ...service) *Loop {
+// runLoop runs a loop for the services until the test ends.
+func runLoop(t *testing.T, l *Loop, services ...service) {
 	t.Helper()
-	l := NewLoop(0)
 	done := make(chan error, 1)
 	go func() { done <- l.Run(services...) }()
 	t.Cleanup(func() {
@@ -36,20 +35,20 @@
 		}
 	})
 	<-l.ready
-	return l
 }
 
 // startServer serves h and returns the loop that does, and the address.
-func startServer(t *testing.T, h Handler, maxInFlight int) (*Loop, string) {
+func startServer(t *testing.T, h Handler, maxHeld int64) (*Loop, string) {
 	t.Helper()
-	addr := freeAddr(t)
-	return startLoop(t, NewServer(ServerConfig{Addr: addr, MaxConns: 10, MaxInFlight: maxInFlight, IdleTimeout: time.Minute, ReadTimeout: time.Minute}, h)), addr
+	addr, l := freeAddr(t), NewLoop(0)
+	runLoop(t, l, NewServer(ServerConfig{Addr: addr, MaxConns: 10, MaxHeld: maxHeld, IdleTimeout: time.Minute, ReadTimeout: time.Minute}, l, h))
+	return l, addr
 }
 
 func TestServerAndClient(t *testing.T) {
 	l, addr := startServer(t, func(req *Request, reply func(Response)) {
 		go reply(Response{Status: 200, Body: append([]byte(req.Method+" "+req.Path+" "), req.Body...)})
-	}, 10)
+	}, 1<<20)
 	c := NewHTTPClient(l, addr, 2, 100)
 	results := make(chan HTTPResult, 20)
 	for range 20 {
@@ -64,7 +63,7 @@
 }
 
 func TestClientTellsNotSentFromNoAnswer(t *testing.T) {
-	d, addr := startServer(t, func(*Request, func(Response)) {}, 10)
+	d, addr := startServer(t, func(*Request, func(Response)) {}, 1<<20)
 	got := make(chan HTTPResult, 1)
 	NewHTTPClient(d, freeAddr(t), 2, 10).Do("GET", "/", nil, patience, func(r HTTPResult) { got <- r })
 	if r := <-got; !errors.Is(r.Err, ErrNotSent) {
@@ -78,7 +77,7 @@
 
 func TestServerRefusesWhatItCannotTake(t *testing.T) {
 	hold := make(chan func(Response), 1)
-	_, addr := startServer(t, func(_ *Request, reply func(Response)) { hold <- reply }, 1)
+	_, addr := startServer(t, func(_ *Request, reply func(Response)) { hold <- reply }, requestBytes)
 	talk := func(text string) string {
 		c, err := net.Dial("tcp4", addr)
 		if err != nil {
@@ -123,7 +122,8 @@
 // A request that does not become complete must not hold its connection.
 func TestServerEndsSlowRequests(t *testing.T) {
 	addr := freeAddr(t)
-	startLoop(t, NewServer(ServerConfig{Addr: addr, MaxConns: 10, MaxInFlight: 10, IdleTimeout: time.Hour, ReadTimeout: 30 * time.Millisecond}, nil))
+	l := NewLoop(0)
+	runLoop(t, l, NewServer(ServerConfig{Addr: addr, MaxConns: 10, MaxHeld: 1 << 20, IdleTimeout: time.Hour, ReadTimeout: 30 * time.Millisecond}, l, nil))
 	c, err := net.Dial("tcp4", addr)
 	if err != nil {
 		t.Fatal(err)
@@ -140,6 +140,33 @@
 	}
 }
 
+// An answer that a standstill of the process has made late must not be sent: by
+// then others may have acted. Nor must a request.
+func TestNothingLateIsSent(t *testing.T) {
+	until := make(chan time.Time, 3)
+	l, addr := startServer(t, func(_ *Request, reply func(Response)) { reply(Response{Status: 200, Until: <-until}) }, 1<<20)
+	c := NewHTTPClient(l, addr, 1, 10)
+	got := make(chan HTTPResult, 1)
+	for _, test := range []struct {
+		until time.Time
+		want  int
+	}{{time.Time{}, 200}, {time.Now().Add(time.Hour), 200}, {time.Now().Add(-time.Millisecond), 503}} {
+		until <- test.until
+		c.Do("GET", "/", nil, patience, func(r HTTPResult) { got <- r })
+		if r := <-got; r.Status != test.want || r.Err != nil {
+			t.Fatalf("until %v: got %d, %v", test.until, r.Status, r.Err)
+		}
+	}
+	late := &call{method: "GET", path: "/", until: time.Now().Add(-time.Millisecond), timer: time.NewTimer(time.Hour), done: func(r HTTPResult) { got <- r }}
+	c.mu.Lock()
+	c.queue = append(c.queue, late)
+	c.pump()
+	c.mu.Unlock()
+	if r := <-got; !errors.Is(r.Err, ErrNotSent) {
+		t.Fatalf("a late request: got %d, %v", r.Status, r.Err)
+	}
+}
+
 type meshLog struct {
 	up     chan *MeshLink
 	frames chan *meshpb.Frame
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -16,24 +16,35 @@
 type ServerConfig struct {
 	Addr        string
 	MaxConns    int
-	MaxInFlight int
+	MaxHeld     int64         // bytes of requests that wait for their answers
 	IdleTimeout time.Duration // a connection without a request
 	ReadTimeout time.Duration // a request that does not become complete
 }
 
 // Server answers HTTP requests on one address.
 type Server struct {
-	cfg      ServerConfig
-	handler  Handler
-	inFlight atomic.Int64
-	mu       sync.Mutex
-	conns    map[gnet.Conn]*serverConn
-	opened   uint64 // connections so far
+	cfg     ServerConfig
+	loop    *Loop
+	handler Handler
+	held    atomic.Int64
+	mu      sync.Mutex
+	conns   map[gnet.Conn]*serverConn
+	opened  uint64 // connections so far
+	outMu   sync.Mutex
+	out     []answer // that the loop is to write
+}
+
+// answer is a response on its way to the loop.
+type answer struct {
+	c  gnet.Conn
+	sc *serverConn
+	r  Response
 }
 
 type serverConn struct {
 	s     *Server
 	id    uint64
+	gone  bool // closed; known to the loop alone
 	busy  bool // a request is with the handler
 	since time.Time
 	part  time.Time // when the request that is arriving began; zero: none is
@@ -43,8 +54,8 @@
 }
 
 // NewServer prepares a server.
-func NewServer(cfg ServerConfig, h Handler) *Server {
-	return &Server{cfg: cfg, handler: h, conns: make(map[gnet.Conn]*serverConn)}
+func NewServer(cfg ServerConfig, l *Loop, h Handler) *Server {
+	return &Server{cfg: cfg, loop: l, handler: h, conns: make(map[gnet.Conn]*serverConn)}
 }
 
 func (s *Server) address() string { return s.cfg.Addr }
@@ -62,6 +73,7 @@
 }
 
 func (sc *serverConn) onClose(c gnet.Conn) {
+	sc.gone = true
 	sc.s.mu.Lock()
 	defer sc.s.mu.Unlock()
 	delete(sc.s.conns, c)
@@ -134,8 +146,9 @@
 	sc.busy, sc.cont, sc.since, sc.part = true, false, time.Now(), time.Time{}
 	sc.mu.Unlock()
 	req := &Request{Method: m.first[0], Path: m.first[1], Body: m.body, Conn: sc.id}
-	reply := s.replier(c, sc, m.close)
-	if s.inFlight.Add(1) > int64(s.cfg.MaxInFlight) {
+	size := requestBytes + int64(len(m.body))
+	reply := s.replier(c, sc, size, m.close)
+	if s.held.Add(size) > s.cfg.MaxHeld {
 		reply(Response{Status: 503, RetryAfterS: 1})
 		return gnet.None
 	}
@@ -166,26 +179,56 @@
 	return gnet.Close
 }
 
-func (s *Server) replier(c gnet.Conn, sc *serverConn, closing bool) func(Response) {
+// requestBytes is what a request is counted as besides its body.
+const requestBytes = 1 << 10
+
+func (s *Server) replier(c gnet.Conn, sc *serverConn, size int64, closing bool) func(Response) {
 	var once sync.Once
 	return func(r Response) {
 		once.Do(func() {
-			s.inFlight.Add(-1)
+			s.held.Add(-size)
 			r.Close = r.Close || closing
-			out := appendResponse(make([]byte, 0, 192+len(r.Body)), &r)
-			// An error means that the connection is gone; the peer asks again.
-			_ = c.AsyncWrite(out, func(c gnet.Conn, err error) error {
-				sc.mu.Lock()
-				sc.busy, sc.since = false, time.Now()
-				sc.mu.Unlock()
-				if err != nil || r.Close {
-					return c.Close()
-				}
-				if c.InboundBuffered() > 0 {
-					return c.Wake(nil)
-				}
-				return nil
-			})
+			s.outMu.Lock()
+			s.out = append(s.out, answer{c, sc, r})
+			first := len(s.out) == 1
+			s.outMu.Unlock()
+			if first {
+				s.loop.run(s.write)
+			}
 		})
 	}
 }
+
+// write writes the answers that have gathered. How long each may be sent is
+// judged here, at the last moment: the process may have stood still since it
+// was made, and what entitled it to the answer may have ended.
+func (s *Server) write() {
+	s.outMu.Lock()
+	out := s.out
+	s.out = nil
+	s.outMu.Unlock()
+	now := time.Now()
+	for i := range out {
+		a := &out[i]
+		if a.sc.gone {
+			continue
+		}
+		r := a.r
+		if !r.Until.IsZero() && now.After(r.Until) {
+			r = Response{Status: 503, RetryAfterS: 1, Close: r.Close}
+		}
+		a.sc.mu.Lock()
+		a.sc.busy, a.sc.since = false, now
+		a.sc.mu.Unlock()
+		if _, err := a.c.Write(appendResponse(make([]byte, 0, 192+len(r.Body)), &r)); err != nil {
+			continue // the connection is gone; the peer asks again
+		}
+		if r.Close {
+			// An error means that it is closed already.
+			_ = a.c.Close()
+		} else if a.c.InboundBuffered() > 0 {
+			// As above.
+			_ = a.c.Wake(nil)
+		}
+	}
+}
