State service's rates are shared by the members that are there

Ruled out: the processor (0.1 of 0.12), reads, the outage itself.

A test holds the rate of a member alone.

--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -34,8 +34,8 @@
 	Now() time.Duration
 }
 
-// Limits holds this process's share of the state service's rates, and what it
-// may use of their bursts while the other controllers use little.
+// Limits holds this process's share of the state service's rates, see Share, and
+// what it may use of their bursts while the other controllers use little.
 type Limits struct {
 	RPS, WriteRPS         float64
 	BurstRPS, BurstWrites float64
@@ -121,6 +121,15 @@
 	}
 }
 
+// Share sets this process's share of the service's rates: it grows while other
+// controllers are away, since their users and jobs are this one's then.
+func (s *Store) Share(rps, writeRPS float64) {
+	now := s.clock.Now()
+	s.reads.fill(now)
+	s.writes.fill(now)
+	s.reads.rate, s.writes.rate = rps, writeRPS
+}
+
 // Failing tells whether the last answer was a refusal or none at all.
 func (s *Store) Failing() bool { return s.failing }
 
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -182,9 +182,9 @@
 		peers:  make(map[string]*peer),
 		byLink: make(map[Link]*peer),
 	}
-	share := tune.WriteShare / float64(1+len(cfg.Known))
+	rps, writeRPS := c.stateShare(1 + len(cfg.Known))
 	c.store = bookkeeping.NewStore(env.State, env.Clock, codec, bookkeeping.Limits{
-		RPS: cfg.Settings.State.RPS * share, WriteRPS: cfg.Settings.State.WriteRPS * share,
+		RPS: rps, WriteRPS: writeRPS,
 		BurstRPS: cfg.Settings.State.RPS * burstShare, BurstWrites: cfg.Settings.State.WriteRPS * burstShare,
 		TxnOps: cfg.Settings.State.TxnOps, ValueBytes: int(cfg.Settings.State.ValueKB * 1024), Timeout: tune.RequestTimeout,
 	}, c.later)
@@ -202,6 +202,24 @@
 	return c, nil
 }
 
+// stateShare is this member's part of the state service's rates if as many use it.
+func (c *Core) stateShare(members int) (rps, writeRPS float64) {
+	part := c.tune.WriteShare / float64(members)
+	return c.cfg.Settings.State.RPS * part, c.cfg.Settings.State.WriteRPS * part
+}
+
+// active counts the members that use the state service: those in reach, and
+// those that hold a key although they are not.
+func (c *Core) active() int {
+	n := 1
+	for _, p := range c.peers {
+		if p.link != nil || c.session.holdsAny(p.member) {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *Core) now() time.Duration { return c.env.Clock.Now() }
 
 func (c *Core) later(fn func()) { c.deferred = append(c.deferred, fn) }
@@ -261,6 +279,7 @@
 // act, up to when all its reports have been passed on.
 func (c *Core) beat(now time.Duration) {
 	c.relay.balance(now)
+	c.store.Share(c.stateShare(c.active()))
 	b := &meshpb.Beat{StateOk: c.session.leaseHolds(now), Load: c.relay.load()}
 	if c.leader != nil && c.session.mayAct(now) {
 		b.Token, b.ClockUs, b.LeaderOk = c.leader.token, now.Microseconds(), true
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -323,3 +324,35 @@
 	w.advance(time.Second)
 	want(t, "leads after the promise", other.core.leader != nil, true)
 }
+
+// One member alone takes everybody's users and jobs. It must have the whole of
+// the state service's rates then: with a third of them, what is submitted in a
+// burst queues behind the writes until users give up.
+func TestRatesAreSharedByThoseWhoAreThere(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.run(2 * time.Second)
+	last := w.leader()
+	want(t, "active", last.core.active(), 3)
+	for _, n := range w.names {
+		if n != last.name {
+			w.crash(n)
+		}
+	}
+	want(t, "active while the others hold keys", last.core.active(), 3)
+	w.advance(10 * time.Second)
+	want(t, "active", last.core.active(), 1)
+	before := w.state.txns
+	const jobs = 1200 // of two writes each; the burst is 150, the rate 300 * 0.8
+	for i := range jobs {
+		body := w.codec.Encode(map[string]any(form(fmt.Sprint("wk-", i+1), 1)))
+		last.core.HandleHTTP(&Request{Method: "POST", Path: "/submissions", Body: body}, func(Response) {})
+		if i%100 == 99 {
+			w.advance(tickEvery)
+		}
+	}
+	w.advance(time.Second)
+	sent := w.state.txns - before
+	if most := (150 + 240*22/10) / 2; sent < most*9/10 || sent > most+1 {
+		t.Fatalf("%d jobs were written in 2.2 s", sent)
+	}
+}
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -102,6 +102,19 @@
 	return s.leaderK.holder.Member
 }
 
+// holdsAny tells whether a member holds the leader key or a ledger.
+func (s *session) holdsAny(member string) bool {
+	if s.leaderMember() == member {
+		return true
+	}
+	for _, k := range s.ledgers {
+		if k.present && k.holder.Member == member {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *session) tick(now time.Duration) {
 	if s.lease == 0 {
 		s.open(now)
