Machines behind a cut are waited for as long as new ones would take

Now many that fall silent together are kept for as long after their lease as a new one takes to boot and fetch what they have cached. One that the cloud's list lacks is taken for gone and returned at once, which is the proof.

Ruled out: losing their tasks later (leases prove that as before), the processor, the state service.

--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -356,3 +356,40 @@
 		t.Fatalf("%d jobs were written in 2.2 s", sent)
 	}
 }
+
+// When a whole room falls silent its machines are most likely cut off. They are
+// waited for as long as new ones would take to boot and fetch: returning them,
+// moments before the cut ended, made 320 of them start anew. One that the
+// cloud's list lacks meanwhile is gone, and returned to prove that.
+func TestMachinesBehindACutAreWaitedFor(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	for i := range 9 { // as many as one member takes without sending some elsewhere
+		w.worker(fmt.Sprintf("vm-%02d", i), "z1")
+	}
+	w.run(2 * time.Second)
+	want(t, "submit", w.nodes["a"].submit(form("wk-1", 36)).Status, 201)
+	w.run(28 * time.Second) // the list has them all for long
+	silent := w.now
+	for i := range 6 {
+		w.workers[fmt.Sprintf("vm-%02d", i)].hung = true
+	}
+	gone := w.cloud.machines[0].name
+	w.cloud.machines = w.cloud.machines[1:]
+	w.run(15 * time.Second)
+	want(t, "returned after the limit of silence", fmt.Sprint(w.cloud.released), fmt.Sprint([]string{gone}))
+	w.run(20 * time.Second) // their leases are over by now
+	for name, k := range w.workers {
+		if k.hung {
+			k.expire()
+		}
+		if name == gone {
+			delete(w.workers, name)
+		}
+	}
+	want(t, "returned when their leases are over", len(w.cloud.released), 1)
+	for len(w.cloud.released) < 6 && w.now < silent+2*time.Minute {
+		w.run(time.Second)
+	}
+	want(t, "returned in the end", len(w.cloud.released) >= 6, true)
+	want(t, "long after", w.now-silent > 50*time.Second, true)
+}
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -18,6 +18,7 @@
 	bootGrace    = 10 * time.Second
 	settleIn     = 6 * time.Second // a new leader looks before it rents
 	rentTries    = 20
+	listDoubt    = 4.0  // times the lag that lists are said to have
 	waveShare    = 0.25 // of a deadline's slack that waiting in line may take
 )
 
@@ -220,7 +221,7 @@
 			continue
 		}
 		all[m.zone]++
-		if r.silence(m, now) > 0 {
+		if r.silence(m, now) > 0 && !r.delisted(m) {
 			silent[m.zone]++
 		}
 	}
@@ -294,7 +295,13 @@
 	}
 	if quiet := r.silence(m, now); quiet > 0 {
 		few := silent[m.zone] <= max(1, all[m.zone]/8)
-		return (few && len(m.tasks)+len(m.sent) > 0) || quiet > r.l.c.leaseSpan()
+		if r.delisted(m) {
+			return true
+		}
+		if few {
+			return len(m.tasks)+len(m.sent) > 0 || quiet > r.l.c.leaseSpan()
+		}
+		return quiet > r.l.c.leaseSpan()+r.replacedIn(m, t)
 	}
 	if !m.empty() {
 		return false
@@ -313,6 +320,34 @@
 	return true
 }
 
+// delisted tells whether the cloud's list lacks a machine that it should have by
+// now: most likely it was taken away without a word. That is no proof, since
+// lists may be older than is said; but returning it is, sooner than its lease.
+func (r *renting) delisted(m *machine) bool {
+	f := &r.l.c.fleet
+	if _, ok := f.listed[m.name]; ok || m.rentedAt == 0 || f.listedAt <= max(m.heard, r.l.since) {
+		return false
+	}
+	return f.listedAt-m.rentedAt > seconds(listDoubt*f.c.cfg.Settings.Cloud.ListLagS)
+}
+
+// replacedIn is how long a machine that is rented now would take to be what a
+// silent one is: it boots and fetches what that has cached and work waits for.
+// When many fall silent together they are most likely cut off, and so long they
+// are cheaper to wait for than to replace.
+func (r *renting) replacedIn(m *machine, t *protocol.MachineType) time.Duration {
+	if t == nil {
+		return 0
+	}
+	in := seconds(t.BootS)
+	for i := range m.images {
+		if im := m.images[i].image; im.waits {
+			in = max(in, seconds(t.BootS)+fetchTime(im, t))
+		}
+	}
+	return in
+}
+
 // holdsEnded tells whether a machine still holds a task of a job that was over
 // long ago, although every answer to it asks for the task's end: whatever the
 // cause, returning the machine ends the task in time (ran_cancelled).
