--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -109,12 +109,25 @@
 	listed      int             // tasks in them
 	checkins    []*meshpb.Checkin
 	answers     []*meshpb.CheckinAnswer
-	askedUptime time.Duration
-	dated       bool          // it has answered on this stream
-	born        time.Duration // then: its process started after that, by this one's clock
+	askedUptime time.Duration // first, on this stream
+	asked       int           // for its uptime, on this stream
+	answered    int           // of these
+	yieldsWith  int           // the question whose answer tells that it does not hold this member's ledger; 0: none
+	yielded     bool          // it has answered that
+	younger     bool          // its process surely started after this one did
 	stateOK     bool
 }
 
+// askUptime asks how long the peer's process has been up. Its age is judged by
+// the first question of a stream; later ones only tell that frames before them
+// have been dealt with.
+func (p *peer) askUptime(now time.Duration) {
+	if p.asked++; p.asked == 1 {
+		p.askedUptime = now
+	}
+	p.send(&meshpb.Frame{Body: &meshpb.Frame_UptimeAsk{UptimeAsk: &meshpb.UptimeAsk{}}})
+}
+
 // send sends a frame after all reports that have gathered.
 func (p *peer) send(f *meshpb.Frame) {
 	p.flush()
@@ -303,8 +316,8 @@
 	}
 	p.ups++
 	p.link, p.reports, p.checkins, p.answers = l, nil, nil, nil
-	p.askedUptime, p.dated = c.now(), false
-	p.send(&meshpb.Frame{Body: &meshpb.Frame_UptimeAsk{UptimeAsk: &meshpb.UptimeAsk{}}})
+	p.asked, p.answered, p.yieldsWith, p.yielded, p.younger = 0, 0, 0, false, false
+	p.askUptime(c.now())
 	c.byLink[l] = p
 	c.stream.join()
 }
@@ -317,7 +330,7 @@
 	}
 	delete(c.byLink, l)
 	p.link, p.reports, p.checkins, p.answers = nil, nil, nil, nil
-	p.stateOK, p.dated = false, false
+	p.stateOK, p.younger, p.yielded = false, false, false
 	if c.leader != nil {
 		c.leader.peerGone(p)
 	}
@@ -384,8 +397,10 @@
 	case *meshpb.Frame_Uptime:
 		// It was measured after the question went out, however late either
 		// was on its way.
-		up := time.Duration(b.Uptime.Us) * time.Microsecond
-		p.dated, p.born = true, p.askedUptime-up-up/1000-promiseDrift
+		if p.answered++; p.answered == 1 {
+			p.younger = time.Duration(b.Uptime.Us)*time.Microsecond+promiseDrift < p.askedUptime-c.started
+		}
+		p.yielded = p.yielded || (p.yieldsWith > 0 && p.answered >= p.yieldsWith)
 	case *meshpb.Frame_PromiseAsk:
 		c.session.onPromiseAsk(p, b.PromiseAsk)
 	case *meshpb.Frame_Checkins:
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -288,6 +288,8 @@
 	}
 	s.onPromiseAsk(back.core.peers[lead.name], &meshpb.PromiseAsk{Round: 1, Keys: []*meshpb.HeldKey{{Key: key}}})
 	promised := w.now
+	lead.still = true // it is slow to hear that the ledger is asked for
+	s.handoverAt = 0
 	w.state.rev++
 	w.state.remove(key) // the holder's lease has ended
 	w.state.pumpWatches()
@@ -300,6 +302,30 @@
 	}
 	w.advance(time.Second)
 	want(t, "taken after the promise", back.core.owner.ledgers[back.name] != nil, true)
+	want(t, "by the promise alone", back.core.peers[lead.name].yielded, false)
+}
+
+// Back at once, with its ledger's key gone, a member need not wait for promises
+// that an earlier process may have given: it asks the others, and who answers
+// has given the ledger up.
+func TestOwnLedgerIsAskedFor(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.run(2 * time.Second)
+	lead, back := w.leader(), w.follower()
+	w.crash(back.name)
+	w.advance(8 * time.Second)
+	want(t, "taken over", lead.core.owner.ledgers[back.name] != nil, true)
+	key := bookkeeping.LedgerKey(back.name)
+	w.state.rev++
+	w.state.remove(key) // the holder's lease has ended, and it has not heard of it
+	w.start(back.name)
+	for range 8 {
+		w.advance(tickEvery)
+		if back.core.owner.ledgers[back.name] != nil {
+			want(t, "still held by the other", lead.core.owner.ledgers[back.name] != nil, false)
+		}
+	}
+	want(t, "taken at once", back.core.owner.ledgers[back.name] != nil, true)
 }
 
 // A claim of the leader key that the network held is applied after its sender
--- a/internal/coordination/promise.go
+++ b/internal/coordination/promise.go
@@ -50,28 +50,47 @@
 // freeToClaim tells whether no promise, given or perhaps forgotten, binds
 // this member. An earlier process of it cannot have promised anything to
 // processes that started after this one.
-func (p *promises) freeToClaim(c *Core, now time.Duration) bool { return p.free(c, now, 0) }
-
-// freeToClaimOwn is the same for this member's own ledger. Another member can
-// only have come to hold that as a leader, and some time after it started.
-func (p *promises) freeToClaimOwn(c *Core, now time.Duration) bool {
-	return p.free(c, now, takeoverAfter)
-}
-
-// free tells whether no promise binds this member to processes that started
-// more than the given time before this one.
-func (p *promises) free(c *Core, now, before time.Duration) bool {
+func (p *promises) freeToClaim(c *Core, now time.Duration) bool {
 	if now > p.bound {
 		return true
 	}
 	for _, peer := range c.peers {
-		if !peer.dated || peer.born <= c.started-before {
+		if !peer.younger {
 			return false
 		}
 	}
 	return p.fresh
 }
 
+// freeToClaimOwn is the same for this member's own ledger: nobody goes on with
+// that by a promise once everybody has been asked for it, see askForOwn.
+func (p *promises) freeToClaimOwn(c *Core, now time.Duration) bool {
+	if p.freeToClaim(c, now) {
+		return true
+	}
+	for _, peer := range c.peers {
+		if !peer.yielded {
+			return false
+		}
+	}
+	return true
+}
+
+// askForOwn asks every member to give this one's own ledger up, in case it goes
+// on with it although the key has vanished. Frames keep their order: who then
+// answers another question has done so.
+func (s *session) askForOwn(now time.Duration) {
+	if now < s.handoverAt {
+		return
+	}
+	s.handoverAt = now + handoverEvery
+	for _, p := range s.c.peers {
+		p.send(&meshpb.Frame{Body: &meshpb.Frame_Handover{Handover: &meshpb.Handover{Ledger: s.c.cfg.Member}}})
+		p.askUptime(now)
+		p.yieldsWith = p.asked
+	}
+}
+
 // until is up to when every other member is bound.
 func (p *promises) until(c *Core) time.Duration {
 	until := time.Duration(math.MaxInt64) // a member alone needs nobody's
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -51,7 +51,7 @@
 	claiming   map[string]bool
 	electAt    time.Duration
 	abstainTo  time.Duration
-	handoverAt time.Duration
+	handoverAt time.Duration // when the own ledger may be asked for again
 	joinedAt   time.Duration // when this member last had a stream from the leader
 	promises   promises
 }
@@ -277,6 +277,7 @@
 }
 
 func (s *session) load(items []protocol.Pair) {
+	s.othersHoldOwn() // what has happened since the last list is not known
 	seen := make(map[string]bool, len(items))
 	for _, it := range items {
 		seen[it.Key] = true
@@ -314,6 +315,9 @@
 		return
 	}
 	*k = heldKey{present: present, holder: h, stamp: stamp, since: s.c.now()}
+	if key == bookkeeping.LedgerKey(s.c.cfg.Member) && present && h.Member != s.c.cfg.Member {
+		s.othersHoldOwn()
+	}
 	if key == bookkeeping.LeaderKey {
 		s.electAt = 0
 		if s.c.leader != nil && (!present || h != s.c.me || stamp != s.c.leader.token) {
@@ -326,6 +330,14 @@
 	}
 }
 
+// othersHoldOwn notes that whoever gave this member's own ledger up may hold it
+// again.
+func (s *session) othersHoldOwn() {
+	for _, p := range s.c.peers {
+		p.yieldsWith, p.yielded = 0, false
+	}
+}
+
 func ledgerName(key string) string {
 	name, _ := bookkeeping.LedgerOfKey(key)
 	return name
@@ -353,6 +365,8 @@
 			}
 		case !k.present && mine && s.promises.freeToClaimOwn(s.c, now):
 			s.claim(name, 0)
+		case !k.present && mine:
+			s.askForOwn(now)
 		case !k.present && !mine && s.c.leader != nil && now-k.since > takeoverAfter && s.promises.freeToClaim(s.c, now):
 			if p := s.c.peers[name]; p == nil || p.link == nil || now-k.since > 3*takeoverAfter {
 				s.claim(name, 0)
