--- a/cmd/cobaltvale/main_test.go
+++ b/cmd/cobaltvale/main_test.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"github.com/cobaltvale/cobaltvale/internal/settings"
 )
 
 func TestCommandLine(t *testing.T) {
@@ -35,3 +37,19 @@
 		}
 	}
 }
+
+// A state service whose answers take long must still be asked as often as its
+// rate allows; the connections for that stay a small part of the sockets.
+func TestConnectionsToTheStateService(t *testing.T) {
+	for _, c := range []struct {
+		rps     float64
+		sockets int
+		want    int
+	}{{180, 4134, 129}, {180, 40000, 216}, {2, 4134, 8}, {400, 100, 8}} {
+		var f settings.File
+		f.Settings.State.RPS, f.Settings.Limits.Sockets = c.rps, c.sockets
+		if got := stateConns(&f, settings.DefaultTuning()); got != c.want {
+			t.Errorf("%v requests a second, %d sockets: %d connections, want %d", c.rps, c.sockets, got, c.want)
+		}
+	}
+}
--- a/cmd/cobaltvale/serve.go
+++ b/cmd/cobaltvale/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -15,7 +16,8 @@
 )
 
 const (
-	stateConns  = 8
+	leastConns  = 8  // to the state service
+	partOfConns = 32 // of the sockets that go to it at the most
 	cloudConns  = 3
 	clientQueue = 1024
 	meshSilence = 4 * time.Second
@@ -63,16 +65,27 @@
 	m.queue.Post(func() { m.core.LinkDown(l) })
 }
 
+// stateConns is how many connections to the state service may be open at once:
+// enough to use its rate while every answer takes as long as one may. With a few
+// for a service that is quick, one that got slow was asked so seldom that users
+// were refused; they are opened only when needed.
+func stateConns(file *settings.File, tune settings.Tuning) int {
+	s := &file.Settings
+	need := int(math.Ceil(s.State.RPS * tune.WriteShare * tune.RequestTimeout.Seconds()))
+	return max(leastConns, min(need, s.Limits.Sockets/partOfConns))
+}
+
 // serve wires the layers together and runs until one of them ends.
 func serve(file *settings.File, tune settings.Tuning, log zerolog.Logger, incarnation uint64, start time.Time) error {
 	loop := transport.NewLoop(paceEvery)
+	toState := stateConns(file, tune)
 	queue := coordination.NewQueue()
 	clock := steadyClock{start}
 	core, err := coordination.New(file, tune, coordination.Env{
 		Clock: clock,
 		Wall:  time.Now,
 		Rand:  rand.New(rand.NewPCG(rand.Uint64(), incarnation)),
-		State: caller{transport.NewHTTPClient(loop, file.External.State, stateConns, clientQueue), queue},
+		State: caller{transport.NewHTTPClient(loop, file.External.State, toState, clientQueue), queue},
 		Cloud: caller{transport.NewHTTPClient(loop, file.External.Cloud, cloudConns, clientQueue), queue},
 		Log:   log,
 	}, incarnation)
@@ -88,7 +101,7 @@
 	sockets := file.Settings.Limits.Sockets
 	server := transport.NewServer(transport.ServerConfig{
 		Addr:        file.APIAddr,
-		MaxConns:    sockets - stateConns - cloudConns - 4*len(peers) - min(32, sockets/4),
+		MaxConns:    sockets - toState - cloudConns - 4*len(peers) - min(32, sockets/4),
 		MaxHeld:     int64(file.Settings.Limits.MemMB*float64(1<<20)) / 4,
 		IdleTimeout: 2 * time.Minute,
 		ReadTimeout: 15 * time.Second,
