Late work heeds the next of the users' aims; the shortest wait sizes the fleet

Cause: the aims now name several times for one class (deadline, 1.5 times that, done within 150 or 180 s, starts within 12 and 50 s). A job that had missed its deadline went behind all others although the next aim was still within reach, and of several waits the first in the file counted.

--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 )
 
 const (
@@ -21,8 +22,9 @@
 // neither urgent work nor images, packing or shares may keep it out for ever.
 // Then comes urgent work of any team, which could stop whatever else is
 // started in its place. Then teams take turns by shares; within a team come
-// priority and the latest start that still meets the deadline, with jobs that
-// cannot meet it any more behind those that can.
+// priority and the latest start that still meets the deadline or, once that is
+// missed, the next of the users' aims, with jobs that can meet none any more
+// behind those that can.
 type rank struct {
 	overdue bool
 	urgent  int
@@ -58,12 +60,16 @@
 		r.urgent = int(j.prio)
 	}
 	r.overdue = !j.begun && wallMs-j.spec.SubmittedMs > beginWithin.Milliseconds()
-	need := l.runTime(j.spec).Seconds()
+	need, earliest := l.runTime(j.spec).Seconds(), float64(wallMs)/1000-2
+	r.start = float64(j.spec.SubmittedMs)/1000 + 3600
 	if j.spec.DeadlineMs > 0 {
 		r.start = float64(j.spec.DeadlineMs)/1000 - need
-		r.late = r.start < float64(wallMs)/1000-2
-	} else {
-		r.start = float64(j.spec.SubmittedMs)/1000 + 3600
+		r.late = r.start < earliest
+	}
+	if r.late {
+		if end := l.nextAim(j.spec, earliest+need); end > 0 {
+			r.start, r.late = end-need, false
+		}
 	}
 	if r.overdue {
 		r.start = float64(j.spec.SubmittedMs) / 1000
@@ -71,6 +77,30 @@
 	return r
 }
 
+// nextAim is the soonest time by which the users would still count a job that
+// has missed its deadline, if that is no sooner than the given one: a multiple
+// of the deadline, or a time from its submission. 0: there is none.
+func (l *leader) nextAim(s *meshpb.JobDemand, soonest float64) float64 {
+	best := 0.0
+	from := float64(s.SubmittedMs) / 1000
+	for _, o := range l.c.cfg.Settings.Objectives {
+		if o.Class != s.Class {
+			continue
+		}
+		end := 0.0
+		switch o.Kind {
+		case "deadline":
+			end = from + o.Times*float64(s.DeadlineMs-s.SubmittedMs)/1000
+		case "finished":
+			end = from + o.WithinS
+		}
+		if end >= soonest && (best == 0 || end < best) {
+			best = end
+		}
+	}
+	return best
+}
+
 // demand is what waits, in the order of service: for each kind of machine and
 // each image a queue for each team. A report finds its machine's next tasks
 // at the heads of a few queues, however many jobs wait.
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -9,6 +9,7 @@
 	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+	"github.com/cobaltvale/cobaltvale/internal/settings"
 )
 
 // What the far larger fleets brought to light. A machine whose lease is over
@@ -419,3 +420,30 @@
 	want(t, "returned in the end", len(w.cloud.released) >= 6, true)
 	want(t, "long after", w.now-silent > 50*time.Second, true)
 }
+
+// A job that has missed its deadline is still worth something to the users if it
+// is done by the next of their aims; only one that can meet none goes last.
+func TestLateWorkHeedsTheNextAim(t *testing.T) {
+	w := newWorld(t, "a")
+	w.run(2 * time.Second)
+	l := w.nodes["a"].core.leader
+	l.c.cfg.Settings.Objectives = []settings.Objective{
+		{Kind: "wait", Class: "d", WithinS: 50, Share: 0.99}, {Kind: "wait", Class: "d", WithinS: 12, Share: 0.98},
+		{Kind: "finished", Class: "d", WithinS: 200, Share: 0.9}, {Kind: "deadline", Class: "d", Times: 1.5, Share: 0.9},
+		{Kind: "finished", Class: "other", WithinS: 1000, Share: 0.9},
+	}
+	share, within := l.forecast.wish("d")
+	want(t, "the aim that leaves least", [2]float64{share, within}, [2]float64{0.98, 12})
+	const sent = int64(1e12)
+	job := &leaderJob{spec: &meshpb.JobDemand{Class: "d", EstimateS: 30, SubmittedMs: sent, DeadlineMs: sent + 100_000}, begun: true}
+	for _, test := range []struct {
+		after int64 // seconds
+		start float64
+		late  bool
+	}{{50, 70, false}, {72, 70, false}, {73, 120, false}, {122, 120, false}, {123, 170, false}, {173, 70, true}} {
+		r := l.rankOf(job, sent+test.after*1000)
+		if r.start-float64(sent)/1000 != test.start || r.late != test.late {
+			t.Fatalf("after %d s: latest start %v, late %v", test.after, r.start-float64(sent)/1000, r.late)
+		}
+	}
+}
--- a/internal/coordination/forecast.go
+++ b/internal/coordination/forecast.go
@@ -56,14 +56,15 @@
 		machines: math.Ceil(float64(j.spec.Tasks) / math.Max(1, fitting(t, j))), job: j.spec, fetch: fetchTime(j.image, t).Seconds()})
 }
 
-// wish is the share of a class's starts that the users want within a time.
+// wish is the share of a class's starts that the users want within a time; of
+// several such aims the one that leaves the least.
 func (f *forecast) wish(class string) (share, within float64) {
 	for _, o := range f.l.c.cfg.Settings.Objectives {
-		if o.Kind == "wait" && o.Class == class && o.Share > 0 && o.Share < 1 {
-			return o.Share, o.WithinS
+		if o.Kind == "wait" && o.Class == class && o.Share > 0 && o.Share < 1 && (share == 0 || o.WithinS < within) {
+			share, within = o.Share, o.WithinS
 		}
 	}
-	return 0, 0
+	return share, within
 }
 
 // fitting is how many of a job's tasks a machine takes at once.
