Records of machines' names stay within the state service's limit of a value

A record of a hundred names of 110 letters was refused for its size, and its machines never got a start. Found by reading what is sized by a constant; a test holds it.

--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -447,3 +447,33 @@
 		}
 	}
 }
+
+// Machines' names may be long: a record of them must stay within the state
+// service's limit of a value, or none of its machines would ever get a start.
+func TestRosterStaysWithinTheValueLimit(t *testing.T) {
+	w := newWorld(t, "a")
+	largest := 0
+	w.state.onTxn = func(_ string, txn *protocol.Txn, _ func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
+		for _, c := range txn.Then {
+			largest = max(largest, len(c.Value))
+			if len(c.Value) > 8<<10 {
+				done(bookkeeping.Result{Status: 400, Body: w.codec.Encode(map[string]any{"error": "value is too large"})})
+				return true
+			}
+		}
+		return false
+	}
+	for i := range 90 {
+		w.worker(fmt.Sprintf("vm-%02d-%s", i, strings.Repeat("n", 105)), "z1")
+	}
+	w.run(3 * time.Second)
+	for range 4 {
+		w.advance(nameEvery)
+	}
+	want(t, "submit", w.nodes["a"].submit(form("wk-1", 360)).Status, 201)
+	w.run(3 * time.Second)
+	want(t, "running", w.total(), 360)
+	if largest < 4<<10 {
+		t.Fatalf("the largest record takes %d bytes, which tries nothing", largest)
+	}
+}
--- a/internal/coordination/roster.go
+++ b/internal/coordination/roster.go
@@ -15,6 +15,7 @@
 
 const (
 	namesPerRecord = 100
+	nameRoom       = 8                      // what a name takes in a record besides its letters, at the most
 	nameEvery      = 250 * time.Millisecond // new machines gather for one record
 )
 
@@ -32,7 +33,13 @@
 	if l.naming || len(l.unnamed) == 0 || now < l.nextName || !l.c.session.mayAct(now) {
 		return
 	}
-	n := min(len(l.unnamed), namesPerRecord)
+	n, size := 0, 0
+	for _, m := range l.unnamed[:min(len(l.unnamed), namesPerRecord)] {
+		if size += len(m.name) + nameRoom; n > 0 && size > int(l.c.cfg.Settings.State.ValueKB*1024) {
+			break
+		}
+		n++
+	}
 	batch := append([]*machine(nil), l.unnamed[:n]...)
 	l.unnamed = append(l.unnamed[:0], l.unnamed[n:]...)
 	names := make([]string, 0, n)
