--- a/internal/coordination/stream.go
+++ b/internal/coordination/stream.go
@@ -214,6 +214,7 @@
 		}
 	}
 	span := s.c.leaseSpan().Microseconds()
+	machines, tasks := 0, 0
 	for m, refs := range s.c.owner.held {
 		last := s.machine(m).at
 		if b.ClockUs-last <= span {
@@ -230,9 +231,13 @@
 			s.c.owner.lost(r.job, r.task)
 		}
 		if len(gone) > 0 {
-			s.c.log.Info().Str("machine", s.c.owner.machines.names[m]).Int("tasks", len(gone)).Msg("machine lost, its lease is over")
+			machines++
+			tasks += len(gone)
 		}
 	}
+	if machines > 0 { // hundreds may be lost together: one line for all
+		s.c.log.Info().Int("machines", machines).Int("tasks", tasks).Msg("machines lost, their leases are over")
+	}
 	s.sweep()
 }
 
