--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -477,3 +477,56 @@
 		t.Fatalf("the largest record takes %d bytes, which tries nothing", largest)
 	}
 }
+
+// What the loss of hundreds of machines at once costs, in counts: a few writes, few
+// calls to the cloud, no more orders than there are copies to stop, and as many
+// starts as there were tasks; and what a takeover of their jobs costs: reads by
+// the page, a handful of writes.
+func TestCostOfALoss(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	const machines, hung = 240, 120
+	for i := range machines {
+		w.worker(fmt.Sprintf("vm-%03d", i), []string{"z1", "z2"}[i%2]).conn = 1
+	}
+	w.run(4 * time.Second)
+	owner := w.follower()
+	for i := range 8 {
+		want(t, "submit", owner.submit(form(fmt.Sprint("wk-", i+1), 60)).Status, 201)
+	}
+	w.run(6 * time.Second)
+	want(t, "running", w.total(), 480)
+	all := make([]*worker, 0, machines) // those that are returned too
+	for _, k := range w.workers {
+		all = append(all, k)
+	}
+	starts := func() (n int) {
+		for _, k := range all {
+			n += k.starts
+		}
+		return n
+	}
+	lost := 0
+	for i := range hung {
+		k := w.workers[fmt.Sprintf("vm-%03d", 2*i)] // one room
+		lost += len(k.running())
+		k.hung = true
+		k.expire() // it has lost power
+	}
+	writes, calls, begun := w.state.txns, len(w.cloud.returns), starts()
+	w.run(longEnough)
+	want(t, "running after the loss", w.total(), 480)
+	want(t, "starts", starts()-begun, lost)
+	if n := w.state.txns - writes; n > 6 { // records of machines that no longer name those returned
+		t.Fatalf("%d writes", n)
+	}
+	if n := len(w.cloud.returns) - calls; n > 2 {
+		t.Fatalf("%d calls return machines", n)
+	}
+	before := w.state.txns
+	w.crash(owner.name)
+	w.run(8 * time.Second)
+	want(t, "running after the takeover", w.total(), 480)
+	if n := w.state.txns - before; n > 4 {
+		t.Fatalf("a takeover takes %d writes", n)
+	}
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -387,6 +387,7 @@
 	takes      time.Duration // tasks end by themselves after it; 0: never
 	vary       time.Duration // and up to six times this more
 	stays      *Core         // where its last report was answered
+	sentTo     string        // the member that it was told to report to
 	conn       uint64
 }
 
@@ -434,11 +435,15 @@
 		"perch": k.session, "tick": k.seq, "baton": k.token, "recallInS": k.notice, "pages": pages})
 }
 
-// report sends one report to the leader and carries out the answer.
+// report sends one report to the leader, or where it was told to, and carries
+// out the answer.
 func (k *worker) report() *Response {
 	if k.hung {
 		return nil
 	}
+	if n := k.w.nodes[k.sentTo]; n != nil && n.up && !n.still {
+		return k.reportTo(n)
+	}
 	for _, name := range k.w.names {
 		if n := k.w.nodes[name]; n.up && !n.still && n.core.leader != nil {
 			return k.reportTo(n)
@@ -457,10 +462,19 @@
 	if r.Status == 0 { // the answer waits for picks
 		k.w.advance(400 * time.Millisecond)
 	}
+	k.sentTo = ""
+	if r.Status == 421 {
+		var to protocol.Redirect
+		if err := k.w.codec.Decode(r.Body, &to); err != nil {
+			k.w.t.Fatal(err)
+		}
+		k.sentTo = to.ReportTo
+	}
 	if r.Status != 200 || k.deaf {
 		k.stays = nil
 		return r
 	}
+	k.sentTo = n.name
 	k.obey(r.Body)
 	return r
 }
