--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -414,6 +414,12 @@
 		}
 	}
 	want(t, "returned when their leases are over", len(w.cloud.released), 1)
+	// What they held waits for them, but for the room that is gone; urgent work
+	// gets machines of its own.
+	want(t, "rented for what waits", w.cloud.n, 1)
+	want(t, "submit", w.nodes["a"].submit(form("wk-2", 8).with("urgency", "urgent").with("vcpus", 8.0)).Status, 201)
+	w.run(3 * time.Second)
+	want(t, "rented with urgent work", w.cloud.n > 5, true)
 	for len(w.cloud.released) < 6 && w.now < silent+2*time.Minute {
 		w.run(time.Second)
 	}
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -42,6 +42,7 @@
 	needs    map[string]time.Duration
 	busy     int // release calls in flight
 	inZone   map[string]int
+	cutOff   map[string]bool // zones in which so many are silent that it must be a cut
 	booting  map[variant]int // machines that are to come
 	variants []variant       // all that can be rented, spot ones first
 	ofType   map[string]int  // machines of each type, there or to come
@@ -214,17 +215,6 @@
 // empty, boots that failed, and silent ones, whose end is proof sooner than
 // their lease.
 func (r *renting) release(now time.Duration) {
-	silent := make(map[string]int)
-	all := make(map[string]int)
-	for m := range r.l.machines.all {
-		if m.gone || !m.reported {
-			continue
-		}
-		all[m.zone]++
-		if r.silence(m, now) > 0 && !r.delisted(m) {
-			silent[m.zone]++
-		}
-	}
 	var names []string
 	for m := range r.l.machines.all {
 		if m.gone {
@@ -233,7 +223,7 @@
 			}
 			continue
 		}
-		if !m.leaving && r.unwanted(m, now, silent, all) {
+		if !m.leaving && r.unwanted(m, now) {
 			m.leaving = true
 		}
 		if m.leaving && !m.releasing && m.pending == nil {
@@ -281,7 +271,7 @@
 	return now - max(m.reached, r.l.actingAt) - r.l.c.silenceAfter()
 }
 
-func (r *renting) unwanted(m *machine, now time.Duration, silent, all map[string]int) bool {
+func (r *renting) unwanted(m *machine, now time.Duration) bool {
 	t := r.l.c.fleet.types[m.typ]
 	if r.l.vanished(m, now) {
 		return true
@@ -294,11 +284,10 @@
 		return true
 	}
 	if quiet := r.silence(m, now); quiet > 0 {
-		few := silent[m.zone] <= max(1, all[m.zone]/8)
 		if r.delisted(m) {
 			return true
 		}
-		if few {
+		if !r.cutOff[m.zone] {
 			return len(m.tasks)+len(m.sent) > 0 || quiet > r.l.c.leaseSpan()
 		}
 		return quiet > r.l.c.leaseSpan()+r.replacedIn(m, t)
--- a/internal/coordination/sizing.go
+++ b/internal/coordination/sizing.go
@@ -66,10 +66,17 @@
 		}
 		return a.typ < b.typ || (a.typ == b.typ && a.zone < b.zone)
 	})
+	silent, heard := make(map[string]int), make(map[string]int)
 	for m := range r.l.machines.all {
 		if m.gone {
 			continue
 		}
+		if m.reported {
+			heard[m.zone]++
+			if r.silence(m, now) > 0 && !r.delisted(m) {
+				silent[m.zone]++
+			}
+		}
 		r.inZone[m.zone]++
 		if r.l.usable(m, now) || (m.comes() && !m.leaving) {
 			r.ofType[m.typ]++
@@ -78,12 +85,18 @@
 			r.booting[m.variant]++
 		}
 	}
+	r.cutOff = make(map[string]bool)
+	for zone, n := range silent {
+		r.cutOff[zone] = n > max(1, heard[zone]/8)
+	}
 }
 
-// supply is a machine, there or to come, with its free room.
+// supply is a machine, there or to come, with its free room. One that is cut off
+// is to come back: work that is not urgent can wait for it.
 type supply struct {
-	m    *machine
-	room room
+	m      *machine
+	room   room
+	cutOff bool
 }
 
 // supplies lists by variant what has room now or soon, the fullest first.
@@ -99,15 +112,20 @@
 			continue
 		}
 		m.kept = false
-		free := room{}
+		free, cutOff := room{}, false
 		switch {
 		case r.l.usable(m, now):
 			free = r.soonFree(m, t, now)
 		case m.comes() && now-m.rentedAt < r.bootLimit(t):
 			free = wholeRoom(t)
+		case m.reported && r.cutOff[m.zone] && r.silence(m, now) > 0 && !r.delisted(m):
+			cutOff = true
+			if free = m.free; r.l.leaseOver(m, now) {
+				free = wholeRoom(t)
+			}
 		}
 		if free.cpus > 0 && free.cpus >= least.cpus {
-			out[m.variant] = append(out[m.variant], &supply{m: m, room: free})
+			out[m.variant] = append(out[m.variant], &supply{m: m, room: free, cutOff: cutOff})
 		}
 	}
 	for _, q := range r.requests {
@@ -164,7 +182,7 @@
 			if n == 0 {
 				break
 			}
-			for n > 0 && s.room.fits(j.spec) {
+			for n > 0 && s.room.fits(j.spec) && !(s.cutOff && j.prio >= protocol.PriorityHigh) {
 				s.room.take(j.spec)
 				n--
 				if s.m != nil {
