--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -10,10 +10,12 @@
 const (
 	relayTimeout = 3500 * time.Millisecond // workers give up after 4 s
 	maxRelayed   = 4096
-	leaderBurden = 2.0  // what a report costs the leader, in reports of a relay
-	uneven       = 1.5  // times another's load, from which on workers are sent there
-	leastLoad    = 20.0 // reports a second that nobody minds
-	moveShare    = 0.1  // of the difference, each second
+	leaderBurden = 2.0              // what a report costs the leader, in reports of a relay
+	uneven       = 1.5              // times another's load, from which on workers are sent there
+	leastLoad    = 20.0             // reports a second that nobody minds
+	moveShare    = 0.1              // of the difference, each second
+	firstTry     = time.Second      // until another worker is sent to a member that takes no reports
+	lastTry      = 30 * time.Second // it doubles up to this
 )
 
 // relay takes reports on the leader's behalf and shares them out among the
@@ -29,6 +31,13 @@
 	moves    float64 // workers that may be sent elsewhere by now
 	lighter  *peer   // the member that they are sent to
 	peerLoad map[*peer]float64
+	tries    map[*peer]*attempts
+}
+
+// attempts is when a worker may next be sent to a member that takes no reports:
+// workers may be cut off from it while other members are not.
+type attempts struct {
+	pause, next time.Duration
 }
 
 // relayed is a report whose answer is awaited from the leader.
@@ -42,6 +51,7 @@
 	r.c = c
 	r.waiting = make(map[uint64]relayed)
 	r.peerLoad = make(map[*peer]float64)
+	r.tries = make(map[*peer]*attempts)
 	r.countAt = c.now()
 }
 
@@ -88,6 +98,7 @@
 
 func (r *relay) peerDown(p *peer) {
 	delete(r.peerLoad, p)
+	delete(r.tries, p)
 	if r.lighter == p {
 		r.lighter = nil
 	}
@@ -125,19 +136,47 @@
 	}
 	const smooth = 0.3
 	r.rate += smooth * (float64(r.taken)/span - r.rate)
+	if r.taken == 0 {
+		r.rate = 0 // nobody should count on reports that come no more
+	}
 	r.taken, r.countAt = 0, now
 	r.lighter, r.moves = nil, 0
+	mine := r.load()
 	for p, load := range r.peerLoad {
-		if p.link != nil && (r.lighter == nil || load < r.peerLoad[r.lighter]) {
+		if p.link != nil && mine > leastLoad && mine > uneven*load && r.mayTry(p, load, now) &&
+			(r.lighter == nil || load < r.peerLoad[r.lighter]) {
 			r.lighter = p
 		}
 	}
 	if r.lighter == nil {
 		return
 	}
-	if mine, other := r.load(), r.peerLoad[r.lighter]; mine > leastLoad && mine > uneven*other {
+	other := r.peerLoad[r.lighter]
+	if other > 0 {
 		r.moves = max(1, (mine-other)*moveShare)
+		return
+	}
+	t := r.tries[r.lighter]
+	t.next = now + t.pause
+	t.pause = min(2*t.pause, lastTry)
+	r.moves = 1
+}
+
+// mayTry tells whether workers may be sent to a member. One that takes no reports
+// may have just come back, or workers can't reach it although this member can:
+// whoever is sent there loses its lease's better part, so only one at a time
+// finds out, ever more seldom.
+func (r *relay) mayTry(p *peer, load float64, now time.Duration) bool {
+	if load > 0 {
+		delete(r.tries, p)
+		return true
+	}
+	t := r.tries[p]
+	if t == nil {
+		t = &attempts{pause: firstTry}
+		r.tries[p] = t
 	}
+	return now >= t.next
 }
 
 // elsewhere names the member that a worker should rather report to, if any.
--- a/internal/coordination/relay_test.go
+++ b/internal/coordination/relay_test.go
@@ -128,3 +128,59 @@
 	want(t, "report that waited for 4 s", out.Status, 503)
 	want(t, "last report taken", m.seq, seq)
 }
+
+// A member that workers can't reach, while other members can, takes no reports:
+// hardly any workers are sent there. Each that is loses seconds; sent there again
+// and again, most machines were silent for so long that they were returned with
+// all their tasks (incidents/inc-f551.md).
+func TestNobodyIsSentWhereNoReportsArrive(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	at := make(map[*worker]*node)
+	for i := range 90 {
+		k := w.worker(fmt.Sprintf("vm-%d", i), "z1")
+		at[k] = w.leader()
+	}
+	want(t, "submit", w.leader().submit(form("wk-1", 90).with("vcpus", 8.0)).Status, 201) // none of them is idle
+	cut := w.follower()
+	sent := 0
+	second := func() {
+		for _, name := range w.workerNames() {
+			k := w.workers[name]
+			r := k.reportTo(at[k])
+			if r.Status != 421 {
+				continue
+			}
+			var to protocol.Redirect
+			if err := w.codec.Decode(r.Body, &to); err != nil {
+				t.Fatal(err)
+			}
+			if to.ReportTo == cut.name {
+				sent++
+				continue // it tries in vain, and comes back
+			}
+			at[k] = w.nodes[to.ReportTo]
+		}
+		w.advance(time.Second)
+	}
+	for range 60 {
+		second()
+	}
+	if sent == 0 || sent > 12 {
+		t.Fatalf("%d workers were sent in a minute to a member that takes no reports", sent)
+	}
+	// Once they reach it again it soon has its share.
+	here := cut
+	cut = &node{}
+	for range 90 {
+		second()
+	}
+	served := 0
+	for _, n := range at {
+		if n == here {
+			served++
+		}
+	}
+	if served < 10 {
+		t.Fatalf("%d of 90 workers are served by the member that is back", served)
+	}
+}
