Machines that report but seem deaf keep their tasks until their lease is over

Cause: a worker that tries one controller after another reports on a new connection each time; that looked deaf, and after three intervals it was returned with its tasks.

--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -276,6 +276,27 @@
 	want(t, "starts once an answer has arrived", len(k.running()), 2)
 }
 
+// A machine that reports on another connection each time, as it does while it
+// tries one controller after another, keeps its tasks until its lease is over:
+// returned at once, it lost them although it was well a moment later.
+func TestMachineThatTriesOthersKeepsItsTasks(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	k := w.worker("vm-1", "z1")
+	for i := range 10 {
+		w.worker(fmt.Sprintf("vm-2%d", i), "z1")
+	}
+	w.run(10 * time.Second)
+	want(t, "submit", w.leader().submit(form("wk-1", 44)).Status, 201)
+	w.run(2 * time.Second)
+	want(t, "running", len(k.running()), 4)
+	k.deaf = true
+	w.run(14 * time.Second)
+	k.deaf = false
+	w.run(10 * time.Second)
+	want(t, "returned", len(w.cloud.released), 0)
+	want(t, "running", len(k.running()), 4)
+}
+
 // What is cancelled on a machine that hears nothing ends in time, and such
 // machines do not keep a leader believing that it reaches its workers.
 func TestNothingButDeafMachines(t *testing.T) {
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -287,6 +287,12 @@
 		if r.delisted(m) {
 			return true
 		}
+		if now-m.heard <= r.l.c.silenceAfter() {
+			// It reports, but nothing shows that answers arrive. Most such
+			// machines only try one controller after another and are well in a
+			// moment; with its lease a deaf one loses its tasks anyhow.
+			return quiet > r.l.c.leaseSpan()
+		}
 		if !r.cutOff[m.zone] {
 			return len(m.tasks)+len(m.sent) > 0 || quiet > r.l.c.leaseSpan()
 		}
