--- /dev/null
+++ b/internal/bookkeeping/jobs.go
@@ -0,0 +1,515 @@
+package bookkeeping
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+)
+
+// Every job has a record of its own, which any node finds by the job's id and
+// which stays. What an owner needs to go on with it, its description, stands in
+// a book with those of other jobs, so that thousands of small jobs take little
+// more than one change each to begin and one to end: what is created and what
+// ends while a transaction is under way, or while the service's rate allows
+// none, goes out together in the next, with one book rewritten for all of it.
+// The name of a job that ends is struck out there; the book that describes it is
+// rewritten when there is room, or much to drop.
+
+const (
+	overRoom   = 40 // what a struck-out name takes in a record at the most
+	muchStale  = 8  // ended jobs for which a book is rewritten at once
+	sparePause = 2 * time.Second
+	gatherFor  = 600 * time.Millisecond // between two batches while the rate allows little
+)
+
+// OwnRecord describes an unfinished job of a ledger.
+type OwnRecord struct {
+	Job  protocol.Job `cbor:"j"`
+	AtMs int64        `cbor:"at"`
+}
+
+// bookRecord is the value of a book's key.
+type bookRecord struct {
+	Jobs []OwnRecord `cbor:"j"`
+	Over []string    `cbor:"o"` // jobs that have ended, whatever books say
+}
+
+// described is an unfinished job and the book that describes it.
+type described struct {
+	rec  OwnRecord
+	book *book
+	room int // that it takes in the record at the most
+}
+
+// book is what one record says, once it is surely written.
+type book struct {
+	n     int
+	jobs  map[string]*described
+	over  map[string]bool
+	stale map[string]*book // ended jobs that its record still describes, with the book that strikes them out
+}
+
+// draft is what a batch makes of a book.
+type draft struct {
+	of   *book
+	jobs map[string]*described
+	over map[string]bool
+}
+
+func (b *book) draft() *draft {
+	d := &draft{of: b, jobs: make(map[string]*described, len(b.jobs)+1), over: make(map[string]bool, len(b.over)+1)}
+	for id, j := range b.jobs {
+		d.jobs[id] = j
+	}
+	for id := range b.over {
+		d.over[id] = true
+	}
+	return d
+}
+
+// room is what a draft takes as a record at the most.
+func (d *draft) room() int {
+	n := overRoom * len(d.over)
+	for _, j := range d.jobs {
+		n += j.room
+	}
+	return n
+}
+
+// empty tells whether there is nothing to say, so that the record goes.
+func (d *draft) empty() bool { return len(d.jobs)+len(d.over) == 0 }
+
+func (d *draft) record() bookRecord {
+	var r bookRecord
+	for _, j := range d.jobs {
+		r.Jobs = append(r.Jobs, j.rec)
+	}
+	for id := range d.over {
+		r.Over = append(r.Over, id)
+	}
+	return r
+}
+
+// operation is the beginning or the end of a job.
+type operation struct {
+	job     *described    // what begins; nil for an end
+	until   time.Duration // its user waits no longer
+	created func(CreateResult)
+
+	id    string
+	rec   JobRecord
+	ended func()
+}
+
+// givenUp tells whether nobody waits for a creation any more.
+func (o *operation) givenUp(now time.Duration) bool {
+	return o.job != nil && o.until > 0 && now > o.until
+}
+
+// batch is operations that are written together.
+type batch struct {
+	ops    []operation
+	drafts []*draft
+	struck map[string]*draft // names that were struck out, with where
+	asked  int               // of ops, whose records are being read, see whose
+	ours   bool
+}
+
+// Create writes a new job before its user is told that it is accepted. It is
+// not sent any more once until has passed.
+func (l *Ledger) Create(j *protocol.Job, atMs int64, nonce string, until time.Duration, done func(CreateResult)) {
+	d := &described{rec: OwnRecord{Job: *j, AtMs: atMs}}
+	d.room = l.store.jsonRoom(len(l.store.codec.Encode(d.rec)))
+	l.ops = append(l.ops, operation{job: d, until: until, created: done, id: j.ID, rec: JobRecord{Ledger: l.name, Nonce: nonce, Tasks: j.Tasks}})
+	l.Pump()
+}
+
+// End writes a job's final state, before anyone is told of it, and drops what
+// is no longer needed of it.
+func (l *Ledger) End(j *protocol.Job, nonce, status string, done func()) {
+	for n := 0; n*chunkTasks < j.Tasks; n++ {
+		l.dropChunk(chunkKey{j.ID, n})
+	}
+	l.ops = append(l.ops, operation{id: j.ID, ended: done, rec: JobRecord{Ledger: l.name, Nonce: nonce, Status: status, Tasks: j.Tasks}})
+	l.Pump()
+}
+
+// Pump writes what has gathered, as far as the rates allow.
+func (l *Ledger) Pump() {
+	if l.lost || l.settling || l.batch != nil || len(l.ops) == 0 {
+		return
+	}
+	now := l.store.clock.Now()
+	budget := l.store.Budget()
+	limit := min(budget, l.store.limits.TxnOps)
+	if limit < 2 || (float64(budget) < l.store.writes.burst*reserve && now-l.sentAt < gatherFor) {
+		l.expire(now)
+		return
+	}
+	b := &batch{struck: make(map[string]*draft)}
+	var t protocol.Txn
+	size, room := 0, l.store.limits.ValueBytes*3/4
+	for len(l.ops) > 0 && len(t.Then)+max(1, len(b.drafts)) < limit && size < maxTxnBytes/2 {
+		op := l.ops[0]
+		switch {
+		case op.givenUp(now):
+			l.ops = l.ops[1:]
+			l.store.later(func() { op.created(Unavailable) })
+			continue
+		case op.job != nil:
+			if !l.describe(b, op.job, room, limit-len(t.Then)-1) {
+				limit = 0
+				continue
+			}
+			t.If = append(t.If, protocol.Condition{Key: JobKey(op.id), Stamp: 0})
+		case !l.strike(b, op.id, room, limit-len(t.Then)-1):
+			limit = 0
+			continue
+		}
+		l.ops = l.ops[1:]
+		value := l.store.codec.Encode(op.rec)
+		size += len(value)
+		t.Then = append(t.Then, protocol.Change{Put: JobKey(op.id), Value: value})
+		if op.job == nil && l.jobs[op.id] == nil {
+			t.Then = append(t.Then, protocol.Change{Delete: l.ownKey(op.id)})
+		}
+		b.ops = append(b.ops, op)
+	}
+	if len(b.ops) > 0 {
+		if q := l.mostStale(b); q != nil && len(q.stale) >= muchStale && len(t.Then)+len(b.drafts) < limit {
+			b.drafts = append(b.drafts, q.draft())
+		}
+		l.send(b, t)
+	}
+}
+
+// expire answers the creations that nobody waits for any more.
+func (l *Ledger) expire(now time.Duration) {
+	kept := l.ops[:0]
+	for _, op := range l.ops {
+		if op.givenUp(now) {
+			l.store.later(func() { op.created(Unavailable) })
+			continue
+		}
+		kept = append(kept, op)
+	}
+	clear(l.ops[len(kept):])
+	l.ops = kept
+}
+
+// describe enters a new job in a book: one of the batch, else the one with most
+// room, whose ended jobs go on this occasion, else a new one.
+func (l *Ledger) describe(b *batch, j *described, room, changes int) bool {
+	for _, d := range b.drafts {
+		if d.room()+j.room <= room {
+			d.jobs[j.rec.Job.ID] = j
+			return true
+		}
+	}
+	if len(b.drafts) >= changes {
+		return false
+	}
+	var best *draft
+	for _, k := range l.books {
+		if d := k.draft(); !b.holds(k) && d.room()+j.room <= room && (best == nil || d.room() < best.room()) {
+			best = d
+		}
+	}
+	if best == nil {
+		l.lastBook++
+		best = (&book{n: l.lastBook}).draft()
+	}
+	best.jobs[j.rec.Job.ID] = j
+	b.drafts = append(b.drafts, best)
+	return true
+}
+
+// strike takes a job that ends out of its book if that is written anyway, and
+// else strikes its name out in one that is.
+func (l *Ledger) strike(b *batch, id string, room, changes int) bool {
+	j := l.jobs[id]
+	if j == nil {
+		return changes >= 1+len(b.drafts) // it is not in a book, see ownKey
+	}
+	for _, d := range b.drafts {
+		if d.of == j.book {
+			delete(d.jobs, id)
+			return true
+		}
+	}
+	for _, d := range b.drafts {
+		if d.room()+overRoom <= room {
+			d.over[id] = true
+			b.struck[id] = d
+			return true
+		}
+	}
+	if len(b.drafts) >= changes {
+		return false
+	}
+	d := j.book.draft()
+	delete(d.jobs, id)
+	b.drafts = append(b.drafts, d)
+	return true
+}
+
+func (b *batch) holds(k *book) bool {
+	for _, d := range b.drafts {
+		if d.of == k {
+			return true
+		}
+	}
+	return false
+}
+
+// mostStale is the book outside a batch whose record says most in vain.
+func (l *Ledger) mostStale(b *batch) *book {
+	var best *book
+	for _, k := range l.books {
+		if !b.holds(k) && (len(k.stale) > 0 || len(k.jobs)+len(k.over) == 0) && (best == nil || len(k.stale) > len(best.stale)) {
+			best = k
+		}
+	}
+	return best
+}
+
+// tidy rewrites a book that says something in vain, one at a time and only while
+// nothing else is to be written.
+func (l *Ledger) tidy() {
+	now := l.store.clock.Now()
+	if l.batch != nil || len(l.ops) > 0 || now < l.tidyAt || !l.store.idle() {
+		return
+	}
+	b := &batch{}
+	if k := l.mostStale(b); k != nil {
+		l.tidyAt = now + sparePause
+		b.drafts = append(b.drafts, k.draft())
+		l.send(b, protocol.Txn{})
+	}
+}
+
+func (l *Ledger) bookKey(k *book) string { return l.ownKey(strconv.Itoa(k.n)) }
+
+// ownKey is the key of a book, or of a job's description as versions before 0.3
+// wrote it.
+func (l *Ledger) ownKey(name string) string { return ownPrefix + l.name + "/" + name }
+
+func (l *Ledger) send(b *batch, t protocol.Txn) {
+	l.batch, l.sentAt = b, l.store.clock.Now()
+	for _, d := range b.drafts {
+		change := protocol.Change{Delete: l.bookKey(d.of)}
+		if !d.empty() {
+			change = protocol.Change{Put: l.bookKey(d.of), Value: l.store.codec.Encode(d.record())}
+		}
+		t.Then = append(t.Then, change)
+	}
+	l.write(t, Foreground, 0, false, func(r TxnResult) {
+		switch r.Outcome {
+		case Applied:
+			l.applied(b)
+		case Conflict:
+			l.whose(b, r)
+		default:
+			l.refused(b)
+		}
+	})
+}
+
+// applied takes in that a batch is written.
+func (l *Ledger) applied(b *batch) {
+	l.batch = nil
+	gone := make(map[*book]bool)
+	for _, d := range b.drafts {
+		gone[d.of] = d.empty()
+		if d.of.jobs == nil && !d.empty() {
+			l.books = append(l.books, d.of)
+		}
+		d.of.jobs, d.of.over = d.jobs, d.over
+		for id, j := range d.jobs {
+			j.book = d.of
+			l.jobs[id] = j
+		}
+	}
+	for _, d := range b.drafts {
+		for id, by := range d.of.stale {
+			delete(by.over, id) // nothing describes it any more
+		}
+		d.of.stale = make(map[string]*book)
+	}
+	for id, d := range b.struck {
+		k := l.jobs[id].book
+		delete(k.jobs, id)
+		k.stale[id] = d.of
+	}
+	kept := l.books[:0]
+	for _, k := range l.books {
+		if !gone[k] {
+			kept = append(kept, k)
+		}
+	}
+	clear(l.books[len(kept):])
+	l.books = kept
+	for _, op := range b.ops {
+		if op.job != nil {
+			op.created(Created)
+			continue
+		}
+		delete(l.jobs, op.id)
+		op.ended()
+	}
+	l.Pump()
+}
+
+// refused takes in that a batch was surely not written: users are told at once
+// that their jobs were not taken, ends are tried again.
+func (l *Ledger) refused(b *batch) {
+	l.batch = nil
+	var again []operation
+	for _, op := range b.ops {
+		if op.job != nil {
+			op.created(Unavailable)
+		} else {
+			again = append(again, op)
+		}
+	}
+	l.ops = append(again, l.ops...)
+	l.store.After(retryPause, l.Pump)
+}
+
+// whose finds out whether the records that stand in a batch's way are its own,
+// written by an earlier transaction of it that got no answer. One such record
+// tells that all of the batch is written.
+func (l *Ledger) whose(b *batch, r TxnResult) {
+	exists := make(map[string]bool)
+	b.asked = 1
+	answered := func() {
+		if b.asked--; b.asked > 0 {
+			return
+		}
+		if b.ours {
+			l.applied(b)
+			return
+		}
+		l.batch = nil
+		var again []operation
+		for _, op := range b.ops {
+			if exists[op.id] {
+				op.created(Exists)
+			} else {
+				again = append(again, op)
+			}
+		}
+		l.ops = append(again, l.ops...)
+		l.Pump()
+	}
+	for i := range b.ops {
+		if op := &b.ops[i]; op.job != nil && r.FailedOn(JobKey(op.id)) {
+			b.asked++
+			l.readRecord(op.id, func(rec JobRecord) {
+				if rec.Ledger == l.name && rec.Nonce == op.rec.Nonce {
+					b.ours = true
+				}
+				exists[op.id] = true
+				answered()
+			})
+		}
+	}
+	answered()
+}
+
+// readRecord reads the record of a job that surely has one.
+func (l *Ledger) readRecord(id string, done func(JobRecord)) {
+	l.store.Get(Urgent, JobKey(id), func(p protocol.Pair, found, ok bool) {
+		if l.lost {
+			return
+		}
+		var rec JobRecord
+		if !ok || (found && l.store.codec.Decode(p.Value, &rec) != nil) {
+			l.store.After(retryPause, func() {
+				if !l.lost {
+					l.readRecord(id, done)
+				}
+			})
+			return
+		}
+		done(rec)
+	})
+}
+
+// readBooks takes up the books that a holder before has left, and returns the
+// unfinished jobs.
+func (l *Ledger) readBooks(items []protocol.Pair) []RecoveredJob {
+	jobs, books := l.store.readOwn(l.name, items)
+	by := make(map[string]*book)
+	for _, r := range books {
+		k := &book{n: r.n, jobs: make(map[string]*described), over: make(map[string]bool), stale: make(map[string]*book)}
+		l.books = append(l.books, k)
+		l.lastBook = max(l.lastBook, k.n)
+		for _, id := range r.Over {
+			by[id] = k
+		}
+	}
+	for i, r := range books {
+		k := l.books[i]
+		for _, own := range r.Jobs {
+			id := own.Job.ID
+			if over := by[id]; over != nil {
+				over.over[id] = true
+				k.stale[id] = over
+				continue
+			}
+			j := &described{rec: own, book: k, room: l.store.jsonRoom(len(l.store.codec.Encode(own)))}
+			k.jobs[id], l.jobs[id] = j, j
+		}
+	}
+	return jobs
+}
+
+// numbered is a book's record with its number.
+type numbered struct {
+	bookRecord
+	n int
+}
+
+// readOwn reads the books of a ledger, and descriptions as versions before 0.3
+// wrote them.
+func (s *Store) readOwn(ledger string, items []protocol.Pair) (jobs []RecoveredJob, books []numbered) {
+	over := make(map[string]bool)
+	var all []OwnRecord
+	for _, it := range items {
+		name, _ := strings.CutPrefix(it.Key, ownPrefix+ledger+"/")
+		n, err := strconv.Atoi(name)
+		if err != nil {
+			var o OwnRecord
+			if s.codec.Decode(it.Value, &o) == nil {
+				all = append(all, o)
+			}
+			continue
+		}
+		k := numbered{n: n}
+		if s.codec.Decode(it.Value, &k.bookRecord) != nil {
+			continue
+		}
+		books = append(books, k)
+		all = append(all, k.Jobs...)
+		for _, id := range k.Over {
+			over[id] = true
+		}
+	}
+	for _, o := range all {
+		if !over[o.Job.ID] {
+			jobs = append(jobs, RecoveredJob{Job: o.Job, AtMs: o.AtMs, Done: make([]bool, o.Job.Tasks)})
+		}
+	}
+	return jobs, books
+}
+
+// Unfinished reads the jobs of a ledger that another member holds.
+func (s *Store) Unfinished(ledger string, done func(jobs []RecoveredJob, ok bool)) {
+	s.List(ownPrefix+ledger+"/", func(items []protocol.Pair, _ uint64, ok bool) {
+		jobs, _ := s.readOwn(ledger, items)
+		done(jobs, ok)
+	})
+}
--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -51,12 +51,6 @@
 	Tasks  int    `cbor:"t"`
 }
 
-// OwnRecord describes an unfinished job of a ledger.
-type OwnRecord struct {
-	Job  protocol.Job `cbor:"j"`
-	AtMs int64        `cbor:"at"`
-}
-
 // RecoveredJob is a job as the state service has it.
 type RecoveredJob struct {
 	Job  protocol.Job
@@ -91,13 +85,21 @@
 	chunks   map[chunkKey]*chunk
 	pages    []*page
 	lastPage int
+
+	ops      []operation // that wait for the next batch
+	batch    *batch      // that is being written
+	jobs     map[string]*described
+	books    []*book
+	lastBook int
+	sentAt   time.Duration // the last batch
+	tidyAt   time.Duration
 }
 
 // NewLedger wraps a ledger key that this process has just taken with the
 // given stamp. onEnd is called once when it turns out to be another's.
 func NewLedger(s *Store, name string, me Holder, lease, stamp uint64, onEnd func()) *Ledger {
 	return &Ledger{store: s, name: name, key: LedgerKey(name), me: me, lease: lease, stamp: stamp,
-		onEnd: onEnd, chunks: make(map[chunkKey]*chunk)}
+		onEnd: onEnd, chunks: make(map[chunkKey]*chunk), jobs: make(map[string]*described)}
 }
 
 // Name returns the ledger's name.
@@ -109,7 +111,7 @@
 // Close stops all writing; callbacks of unfinished operations never come.
 func (l *Ledger) Close() {
 	l.lost = true
-	l.waiting = nil
+	l.waiting, l.ops = nil, nil
 }
 
 func (l *Ledger) fail() {
@@ -250,71 +252,6 @@
 	l.store.Txn(Urgent, t, done)
 }
 
-// Create writes a new job before its user is told that it is accepted. It is
-// not sent any more once until has passed.
-func (l *Ledger) Create(j *protocol.Job, atMs int64, nonce string, until time.Duration, done func(CreateResult)) {
-	rec := JobRecord{Ledger: l.name, Nonce: nonce, Tasks: j.Tasks}
-	key := JobKey(j.ID)
-	t := protocol.Txn{
-		If: []protocol.Condition{{Key: key, Stamp: 0}},
-		Then: []protocol.Change{
-			{Put: key, Value: l.store.codec.Encode(rec)},
-			{Put: ownPrefix + l.name + "/" + j.ID, Value: l.store.codec.Encode(OwnRecord{Job: *j, AtMs: atMs})},
-		},
-	}
-	l.write(t, Foreground, until, false, func(r TxnResult) {
-		switch r.Outcome {
-		case Applied:
-			done(Created)
-		case Conflict:
-			l.whose(key, nonce, done)
-		default:
-			done(Unavailable)
-		}
-	})
-}
-
-// whose tells whether the job that stands in the way of a creation is that
-// very creation, applied by an earlier transaction that got no answer.
-func (l *Ledger) whose(key, nonce string, done func(CreateResult)) {
-	if l.lost {
-		return
-	}
-	l.store.Get(Read, key, func(p protocol.Pair, found, ok bool) {
-		if l.lost {
-			return
-		}
-		var rec JobRecord
-		switch {
-		case !ok:
-			l.store.After(retryPause, func() { l.whose(key, nonce, done) })
-		case found && l.store.codec.Decode(p.Value, &rec) == nil && rec.Ledger == l.name && rec.Nonce == nonce:
-			done(Created)
-		case found:
-			done(Exists)
-		default:
-			done(Unavailable)
-		}
-	})
-}
-
-// End writes a job's final state, before anyone is told of it, and drops what
-// is no longer needed of it.
-func (l *Ledger) End(j *protocol.Job, nonce, status string, done func()) {
-	t := protocol.Txn{Then: []protocol.Change{
-		{Put: JobKey(j.ID), Value: l.store.codec.Encode(JobRecord{Ledger: l.name, Nonce: nonce, Status: status, Tasks: j.Tasks})},
-		{Delete: ownPrefix + l.name + "/" + j.ID},
-	}}
-	for n := 0; n*chunkTasks < j.Tasks; n++ {
-		l.dropChunk(chunkKey{j.ID, n})
-	}
-	l.write(t, Urgent, 0, true, func(r TxnResult) {
-		if r.Outcome == Applied {
-			done()
-		}
-	})
-}
-
 // Recover reads the ledger's unfinished jobs with their finished tasks.
 func (l *Ledger) Recover(done func([]RecoveredJob)) {
 	l.store.List(ownPrefix+l.name+"/", func(items []protocol.Pair, _ uint64, ok bool) {
@@ -325,7 +262,7 @@
 			l.store.After(retryPause, func() { l.retryRecover(done) })
 			return
 		}
-		jobs := decodeOwn(l.store.codec, items)
+		own := items
 		l.store.List(donePrefix+l.name+"/", func(items []protocol.Pair, _ uint64, ok bool) {
 			if l.lost {
 				return
@@ -334,6 +271,7 @@
 				l.store.After(retryPause, func() { l.retryRecover(done) })
 				return
 			}
+			jobs := l.readBooks(own)
 			l.readPages(jobs, items)
 			done(jobs)
 		})
@@ -346,24 +284,6 @@
 	}
 }
 
-func decodeOwn(codec *protocol.Codec, items []protocol.Pair) []RecoveredJob {
-	var jobs []RecoveredJob
-	for _, it := range items {
-		var o OwnRecord
-		if codec.Decode(it.Value, &o) == nil {
-			jobs = append(jobs, RecoveredJob{Job: o.Job, AtMs: o.AtMs, Done: make([]bool, o.Job.Tasks)})
-		}
-	}
-	return jobs
-}
-
-// Unfinished reads the jobs of a ledger that another member holds.
-func (s *Store) Unfinished(ledger string, done func(jobs []RecoveredJob, ok bool)) {
-	s.List(ownPrefix+ledger+"/", func(items []protocol.Pair, _ uint64, ok bool) {
-		done(decodeOwn(s.codec, items), ok)
-	})
-}
-
 // Job reads a job's record afresh, unless that has not begun by the given time.
 func (s *Store) Job(id string, until time.Duration, done func(rec JobRecord, found, ok bool)) {
 	s.getUntil(Read, until, JobKey(id), func(p protocol.Pair, found, ok bool) {
--- a/internal/bookkeeping/pages.go
+++ b/internal/bookkeeping/pages.go
@@ -102,6 +102,7 @@
 	if l.lost || l.settling {
 		return
 	}
+	l.tidy()
 	var batch []*page
 	var t protocol.Txn
 	size := 0
@@ -115,7 +116,7 @@
 		if !p.dirty || p.writing {
 			continue
 		}
-		if len(batch) >= l.store.limits.TxnOps || size+l.store.limits.ValueBytes > maxTxnBytes {
+		if len(batch) >= l.store.pagesAtOnce() || size+l.store.limits.ValueBytes > maxTxnBytes {
 			send()
 		}
 		change := protocol.Change{Delete: l.pageKey(p)}
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -49,6 +49,7 @@
 	retryPause  = 300 * time.Millisecond
 	limitedHold = 250 * time.Millisecond // after the service refused a request for its rate
 	reserve     = 0.5                    // of the write burst, which Background leaves to others
+	patience    = 2 * time.Second        // after which Background leaves nothing to others
 )
 
 // Class is how soon a request goes out.
@@ -84,6 +85,7 @@
 	writes       int
 	timeout      time.Duration
 	until        time.Duration // not sent after that; 0: whenever
+	at           time.Duration // when it was asked for
 	done         func(Result)
 }
 
@@ -185,12 +187,50 @@
 		return true
 	}
 	need := math.Min(float64(r.writes), s.writes.burst)
-	if r.class == Background {
+	if r.class == Background && !s.overdue(s.clock.Now()) {
 		need = math.Min(need+s.writes.burst*reserve, s.writes.burst)
 	}
 	return s.writes.level >= need
 }
 
+// Budget is how many changes a transaction that users wait for may make now.
+func (s *Store) Budget() int {
+	now := s.clock.Now()
+	s.reads.fill(now)
+	s.writes.fill(now)
+	if now < s.held || len(s.queues[Foreground]) > 0 || s.reads.level < 1 || s.writes.level < math.Min(2, s.writes.burst) || s.overdue(now) {
+		return 0
+	}
+	return max(2, int(s.writes.level))
+}
+
+// overdue tells whether what goes in the background has waited for too long: it
+// is next then, before users' writes.
+func (s *Store) overdue(now time.Duration) bool {
+	q := s.queues[Background]
+	return len(q) > 0 && now-q[0].at > patience
+}
+
+// idle tells whether there is nothing to do and much that the rates allow.
+func (s *Store) idle() bool {
+	for _, q := range s.queues {
+		if len(q) > 0 {
+			return false
+		}
+	}
+	s.writes.fill(s.clock.Now())
+	return s.writes.level > s.writes.burst*reserve+1
+}
+
+// pagesAtOnce is how many changes one transaction in the background makes: the
+// part of the burst that it leaves to others has to be enough for it.
+func (s *Store) pagesAtOnce() int {
+	return max(1, min(s.limits.TxnOps, int(s.writes.burst*reserve)))
+}
+
+// jsonRoom is what an encoded value takes at the most where sizes count as JSON.
+func (s *Store) jsonRoom(encoded int) int { return encoded*3/2 + 64 }
+
 func (s *Store) send(r request) {
 	s.reads.level--
 	s.writes.level -= float64(r.writes)
@@ -219,6 +259,7 @@
 		s.later(func() { r.done(Result{NotSent: true}) })
 		return
 	}
+	r.at = s.clock.Now()
 	s.queues[r.class] = append(s.queues[r.class], r)
 	s.pump()
 }
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -349,8 +349,11 @@
 	}
 }
 
-// tick ends the pauses of failed tasks.
+// tick writes what has gathered, and ends the pauses of failed tasks.
 func (o *owner) tick(now time.Duration) {
+	for _, l := range o.ledgers {
+		l.book.Pump()
+	}
 	for _, j := range o.jobs {
 		if len(j.cool) == 0 {
 			continue
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -574,8 +574,9 @@
 	hidden  string          // a prefix whose listings get 503
 	// onTxn may take a transaction over: it returns true to swallow it, and
 	// may apply it later.
-	onTxn func(from string, t *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool
-	txns  int
+	onTxn  func(from string, t *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool
+	txns   int
+	writes int // changes that were asked for
 }
 
 type stateKey struct {
@@ -631,6 +632,7 @@
 			return out
 		}
 		s.txns++
+		s.writes += len(t.Then)
 		if s.onTxn != nil && s.onTxn(from, &t, apply, done) {
 			return
 		}
