Questions about jobs share reads; many are compared in one request

Cause: each poll of an unknown job, or of one whose owner is gone, took one to three reads, of 53 a second for each member; in a storm they would also have kept writes from going out.

--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -284,18 +284,6 @@
 	}
 }
 
-// Job reads a job's record afresh, unless that has not begun by the given time.
-func (s *Store) Job(id string, until time.Duration, done func(rec JobRecord, found, ok bool)) {
-	s.getUntil(Read, until, JobKey(id), func(p protocol.Pair, found, ok bool) {
-		var rec JobRecord
-		if found && s.codec.Decode(p.Value, &rec) != nil {
-			done(rec, false, false)
-			return
-		}
-		done(rec, found, ok)
-	})
-}
-
 // RecordMachines writes the names of machines that may be given tasks, under
 // a key that is new, as long as the leader key has the given stamp.
 func (s *Store) RecordMachines(token uint64, n int, names []string, done func(key string, r TxnResult)) {
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -56,7 +56,7 @@
 type Class uint8
 
 // The classes. Urgent ones go out at once, whatever the rates hold, and are
-// made up for by those behind them. Reads wait for no write. Foreground writes
+// made up for by those behind them. Reads wait for no write's rate. Foreground writes
 // are what users wait for; Background ones leave them a part of the burst.
 const (
 	Urgent Class = iota
@@ -102,6 +102,7 @@
 	held    time.Duration // nothing but urgent requests before
 	failing bool
 	delayed []delayedCall
+	lookups lookups
 }
 
 type delayedCall struct {
@@ -148,6 +149,7 @@
 		i++
 	}
 	s.pump()
+	s.lookUp()
 }
 
 // After runs fn once the pause has passed.
@@ -159,7 +161,9 @@
 	now := s.clock.Now()
 	s.reads.fill(now)
 	s.writes.fill(now)
-	for class := Read; class < classes; class++ {
+	// Writes are few, as their own rate bounds them; what reads leave of the
+	// requests in a storm of polls would not be enough for them.
+	for _, class := range []Class{Foreground, Background, Read} {
 		for len(s.queues[class]) > 0 && now >= s.held {
 			r := s.queues[class][0]
 			if r.until > 0 && now > r.until {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -14,7 +14,7 @@
 	statusTimeout = 1500 * time.Millisecond // and polls after 2 s
 	askTimeout    = 500 * time.Millisecond
 	finalsKept    = 20000
-	ledgersKept   = 20000
+	recordsKept   = 20000
 	maxAsks       = 2000
 	unreadyAfter  = 3 * time.Second
 )
@@ -30,8 +30,9 @@
 	c      *Core
 	finals map[string]ending
 	order  []string // of finals, the oldest first
-	// ledgers remembers to which ledger a job belongs, which never changes.
-	ledgers map[string]string
+	// records remembers what was read of jobs that go on: to which ledger each
+	// belongs, which never changes, and the stamp by which a change would show.
+	records map[string]bookkeeping.KnownRecord
 	asks    map[uint64]*ask
 	askSeq  uint64
 	timers  []timer
@@ -53,12 +54,12 @@
 func (u *users) init(c *Core) {
 	u.c = c
 	u.finals = make(map[string]ending)
-	u.ledgers = make(map[string]string)
+	u.records = make(map[string]bookkeeping.KnownRecord)
 	u.asks = make(map[uint64]*ask)
 }
 
 func (u *users) remember(id, status string, tasks int) {
-	delete(u.ledgers, id)
+	delete(u.records, id)
 	if _, ok := u.finals[id]; ok {
 		return
 	}
@@ -294,11 +295,11 @@
 // Nothing less than a fresh read may say that a job is unknown, and nothing
 // less than that or its owner that it goes on.
 func (u *users) lookUp(id string, code int, absent func() Response, reply func(Response)) {
-	u.read(id, code, absent, reply, func(rec bookkeeping.JobRecord) {
+	u.read(id, code, absent, reply, func(rec bookkeeping.KnownRecord) {
 		u.ask(id, code, rec.Ledger, reply, func() {
 			// The owner does not answer. The job may have come to its end
 			// since the record was read.
-			u.read(id, code, absent, reply, func(bookkeeping.JobRecord) {
+			u.read(id, code, absent, reply, func(bookkeeping.KnownRecord) {
 				reply(u.c.status(code, id, protocol.StatusPending, 0, 0))
 			})
 		})
@@ -306,9 +307,9 @@
 }
 
 // read answers from a job's record unless the job goes on.
-func (u *users) read(id string, code int, absent func() Response, reply func(Response), goesOn func(bookkeeping.JobRecord)) {
+func (u *users) read(id string, code int, absent func() Response, reply func(Response), goesOn func(bookkeeping.KnownRecord)) {
 	c := u.c
-	c.store.Job(id, c.now()+statusTimeout, func(rec bookkeeping.JobRecord, found, ok bool) {
+	c.store.Job(id, u.records[id], c.now()+statusTimeout, func(rec bookkeeping.KnownRecord, found, ok bool) {
 		switch {
 		case !ok:
 			reply(c.refusal(503, "state service is away", 1))
@@ -318,10 +319,10 @@
 			u.remember(id, rec.Status, rec.Tasks)
 			reply(c.finalStatus(code, id, ending{rec.Status, rec.Tasks}))
 		default:
-			if len(u.ledgers) >= ledgersKept {
-				clear(u.ledgers)
+			if len(u.records) >= recordsKept {
+				clear(u.records)
 			}
-			u.ledgers[id] = rec.Ledger
+			u.records[id] = rec
 			if !u.known(id, code, reply) {
 				goesOn(rec)
 			}
@@ -357,8 +358,13 @@
 		return
 	}
 	absent := func() Response { return u.c.refusal(404, "no such job", 0) }
-	if ledger, ok := u.ledgers[id]; ok {
-		u.ask(id, 200, ledger, reply, func() { u.lookUp(id, 200, absent, reply) })
+	if rec, ok := u.records[id]; ok {
+		u.ask(id, 200, rec.Ledger, reply, func() {
+			// The owner does not answer. Only the record says whether it goes on.
+			u.read(id, 200, absent, reply, func(bookkeeping.KnownRecord) {
+				reply(u.c.status(200, id, protocol.StatusPending, 0, 0))
+			})
+		})
 		return
 	}
 	u.lookUp(id, 200, absent, reply)
@@ -380,7 +386,7 @@
 		u.withdraw(j, reply)
 		return
 	}
-	c.store.Job(id, c.now()+submitTimeout, func(rec bookkeeping.JobRecord, found, ok bool) {
+	c.store.Job(id, u.records[id], c.now()+submitTimeout, func(rec bookkeeping.KnownRecord, found, ok bool) {
 		switch {
 		case !ok:
 			reply(c.refusal(503, "state service is away", 1))
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -577,6 +577,7 @@
 	onTxn  func(from string, t *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool
 	txns   int
 	writes int // changes that were asked for
+	asked  int // requests, but for watches and renewals
 }
 
 type stateKey struct {
@@ -620,6 +621,9 @@
 	if err != nil {
 		s.w.t.Fatal(err)
 	}
+	if u.Path != "/watch" && !strings.HasPrefix(path, "/leases") {
+		s.asked++
+	}
 	switch {
 	case path == "/multi":
 		var t protocol.Txn
