--- a/internal/coordination/promise.go
+++ b/internal/coordination/promise.go
@@ -129,8 +129,8 @@
 	}
 }
 
-// onPromiseAsk promises, unless a key is not the asker's any more as far as
-// this member knows, or a claim of its own is under way.
+// onPromiseAsk promises, unless this member has seen that a key is not the
+// asker's any more, or a claim of its own is under way.
 func (s *session) onPromiseAsk(from *peer, f *meshpb.PromiseAsk) {
 	given := s.viewOK && s.self != 0 && len(f.Keys) > 0
 	for _, k := range f.Keys {
@@ -140,7 +140,14 @@
 			name, _ = bookkeeping.LedgerOfKey(k.Key)
 			held = s.ledgers[name]
 		}
-		if held == nil || !held.present || held.holder.Member != from.member || s.claiming[name] {
+		switch {
+		case held == nil || s.claiming[name]:
+			given = false
+		case k.Stamp > held.stamp:
+			// The asker took the key after what this member last saw of it, which
+			// may be long ago if the state service refuses it. It knows of no
+			// newer claim, and whoever made one refuses by himself.
+		case !held.present || held.holder.Member != from.member:
 			given = false
 		}
 	}
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -642,13 +642,68 @@
 	want(t, "running on", w.total(), 2)
 }
 
-// Whatever is refused to whom, and whoever restarts, two processes never act
-// on the same key.
+// The state service refuses the leader alone, and then everybody: the next
+// leader goes on, although the first has not seen it take the key. Refused its
+// promise, nobody acted until the end of the outage, and nothing was cancelled
+// in time.
+func TestOutageAfterTheLeaderWasRefused(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	k := w.worker("vm-1", "z1")
+	w.run(2 * time.Second)
+	first := w.leader()
+	want(t, "submit", w.follower().submit(form("wk-1", 2)).Status, 201)
+	w.state.away[first.name] = true
+	w.run(10 * time.Second)
+	second := w.leader()
+	want(t, "another leads", second != first, true)
+	w.state.away[""] = true
+	for range 50 { // longer than a cancellation has
+		w.run(time.Second)
+		if !second.core.session.mayAct(w.now) {
+			t.Fatal("the leader stops in an outage although everybody promises")
+		}
+		want(t, "acts that lost its key", first.core.session.mayAct(w.now), false)
+	}
+	want(t, "running", len(k.running()), 2)
+	w.state.away[""], w.state.away[first.name] = false, false
+	w.run(5 * time.Second)
+	code, status := first.poll("wk-1")
+	want(t, "known to the first", fmt.Sprint(code, status.Status == "running" || status.Status == "pending"), "200 true")
+}
+
+// Whatever is refused to whom, whoever restarts, and whatever transactions are
+// carried out late, two processes never act on the same key.
 func TestNeverTwoHolders(t *testing.T) {
 	for seed := range uint64(40) {
 		r := rand.New(rand.NewPCG(seed, 7))
 		w := newWorld(t, "a", "b", "c")
+		type late struct {
+			at    time.Duration
+			apply func() bookkeeping.Result
+		}
+		var unanswered []late
+		lateOnes := 0 // of 10
+		w.state.onTxn = func(from string, txn *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
+			if r.IntN(10) >= lateOnes {
+				return false
+			}
+			unanswered = append(unanswered, late{w.now + time.Duration(2000+r.IntN(10000))*time.Millisecond, apply})
+			done(bookkeeping.Result{})
+			return true
+		}
 		for range 250 {
+			kept := unanswered[:0]
+			for _, l := range unanswered {
+				if l.at <= w.now && !w.state.away[""] {
+					l.apply()
+					continue
+				}
+				kept = append(kept, l)
+			}
+			unanswered = kept
+			if r.IntN(20) == 0 {
+				lateOnes = max(0, r.IntN(12)-6)
+			}
 			n := w.names[r.IntN(3)]
 			switch r.IntN(30) {
 			case 0:
