Mistaken jobs try one task at a time; shorter pauses where machines are at fault

Cause: tasks of a job that fails everywhere waited all together after each pause and had machines rented for them; where machines were at fault, the pauses of a good job's tasks grew to a minute with each of its tasks that failed.

--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -27,7 +27,8 @@
 	nWrit   int
 	ending  string // the final status that is being written
 	final   bool
-	fails   int
+	fails   int // in a row
+	doubt   doubt
 	dirty   bool
 	fresh   bool // its description has not been sent to the present leader
 	onFinal []func(status string)
@@ -296,11 +297,7 @@
 
 // demand is what the leader has to know of a job.
 func (j *ownedJob) demand(spec bool) *meshpb.JobDemand {
-	d := &meshpb.JobDemand{Job: j.id, Waiting: uint32(j.nWait), Located: uint32(j.nLoc),
-		Closed: j.final}
-	if j.ending != "" {
-		d.Waiting = 0
-	}
+	d := &meshpb.JobDemand{Job: j.id, Waiting: uint32(j.startable()), Located: uint32(j.nLoc), Closed: j.final}
 	if !spec {
 		return d
 	}
@@ -355,6 +352,7 @@
 		l.book.Pump()
 	}
 	for _, j := range o.jobs {
+		o.reconsider(j, now)
 		if len(j.cool) == 0 {
 			continue
 		}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -10,6 +10,7 @@
 const (
 	keptFor    = 3 * time.Minute // how long a type stays reserved for the jobs that need it
 	sickErrors = 3
+	failsOn    = 3 // machines on which a job fails before the mistake is taken for its own
 )
 
 // offer is room offered to one owner for one answer.
@@ -29,7 +30,7 @@
 // failsHere tells whether a job has failed on a machine and should rather be
 // tried on others, of which there are enough.
 func (l *leader) failsHere(j *leaderJob, m *machine) bool {
-	return j.errorsOn[m.name] && len(j.errorsOn) < 3 && 2*len(j.errorsOn) <= len(l.machines.byName)
+	return j.errorsOn[m.name] && !j.failsAnywhere(l.rent.there)
 }
 
 // keptForOthers tells whether machines of a type are kept for jobs that can
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -446,27 +446,45 @@
 		if p.job.errorsOn == nil {
 			p.job.errorsOn = make(map[string]bool)
 		}
+		known := p.job.errorsOn[m.name]
 		p.job.errorsOn[m.name] = true
 		l.judgeSick(m)
+		if known || p.job.succeeded || !p.job.failsAnywhere(l.rent.there) {
+			return
+		}
+		for name := range p.job.errorsOn {
+			if o := l.machines.get(name); o != nil && o.sick {
+				l.judgeSick(o)
+			}
+		}
 	}
 }
 
-// judgeSick sets a machine aside that fails the tasks of several jobs, or
-// again and again those of one that does well elsewhere. A job that fails
-// everywhere does not count against any machine.
+// judgeSick sets a machine aside that fails the tasks of several jobs, or again
+// and again those of one that does well elsewhere. A job that fails everywhere
+// does not count against any machine, nor one that has failed on most of the few
+// that there are: once that shows, machines set aside for it come back.
 func (l *leader) judgeSick(m *machine) {
 	jobs, errs := 0, 0
 	for id, n := range m.errors {
-		if j := l.jobs[id]; j != nil && !j.succeeded && len(j.errorsOn) >= 3 {
+		j := l.jobs[id]
+		if j != nil && !j.succeeded && j.failsAnywhere(l.rent.there) {
 			continue
 		}
 		jobs++
-		if j := l.jobs[id]; j != nil && j.succeeded {
+		if j != nil && j.succeeded {
 			errs += n
 		}
 	}
-	if !m.sick && (jobs >= 2 || errs >= sickErrors) {
-		m.sick = true
+	sick := jobs >= 2 || errs >= sickErrors
+	if sick && !m.sick {
 		l.c.log.Info().Str("machine", m.name).Int("errors", errs).Msg("machine fails its tasks, set aside")
 	}
+	m.sick = sick
+}
+
+// failsAnywhere tells whether a job has failed on so many machines, or so great a
+// part of them, that the mistake is its own.
+func (j *leaderJob) failsAnywhere(machines int) bool {
+	return len(j.errorsOn) >= failsOn || 2*len(j.errorsOn) > machines
 }
--- a/internal/coordination/sizing.go
+++ b/internal/coordination/sizing.go
@@ -50,7 +50,7 @@
 // count notes how many machines each zone has, and which are to come.
 func (r *renting) count(now time.Duration) {
 	r.inZone, r.booting, r.variants = make(map[string]int), make(map[variant]int), r.variants[:0]
-	r.ofType, r.warm = make(map[string]int), r.l.forecast.warm(now)
+	r.ofType, r.warm, r.there = make(map[string]int), r.l.forecast.warm(now), 0
 	for name, t := range r.l.c.fleet.types {
 		for _, z := range t.Zones {
 			r.variants = append(r.variants, variant{name, z, true}, variant{name, z, false})
@@ -73,6 +73,7 @@
 		}
 		if m.reported {
 			heard[m.zone]++
+			r.there++
 			if r.silence(m, now) > 0 && !r.delisted(m) {
 				silent[m.zone]++
 			}
--- a/internal/coordination/tasks.go
+++ b/internal/coordination/tasks.go
@@ -269,15 +269,16 @@
 	case protocol.WhyDone:
 		o.lift(j, i)
 		j.fails = 0
+		o.trusted(j)
 		t.place = completed
 		j.nDone++
 		o.finishTask(j, i)
 	case protocol.WhyError:
 		o.lift(j, i)
 		clear()
-		j.fails++
+		o.failed(j, m, o.c.now())
 		t.place = cooling
-		t.readyAt = o.c.now() + failPause(j.fails)
+		t.readyAt = o.c.now() + failPause(min(j.fails, mostPaused))
 		j.cool = append(j.cool, i)
 	case protocol.WhyNoRoom, protocol.WhyBusy, protocol.WhyUnknown:
 		o.lift(j, i)
@@ -291,12 +292,95 @@
 	}
 }
 
-// failPause grows with the failures of a job in a row, so that one submitted
-// with a mistake does not keep machines busy.
+// failPause grows with the failures in a row.
 func failPause(fails int) time.Duration {
 	return time.Duration(math.Min(60, 0.5*math.Pow(1.5, float64(min(fails, 20)))) * float64(time.Second))
 }
 
+// mostPaused is up to which of a job's failures in a row the pauses of its tasks
+// grow: they may be due to a few machines, while its other tasks run.
+const mostPaused = 8
+
+const (
+	trustAfter = 5 * time.Second // that a task of a doubted job runs, at first
+)
+
+// doubt is whether a job was submitted with a mistake: its tasks have failed on
+// several machines, or often where there are few, and none of it runs. Then one task at a time finds out, after
+// a pause that grows: all at once, again and again, they would keep machines busy
+// and have more rented for them.
+type doubt struct {
+	on      map[int32]bool // machines that it has failed on since a task ended well
+	held    bool
+	tries   int           // failed since then, one at a time
+	tryAt   time.Duration // when the next task may start
+	running time.Duration // since when one of it has been seen to run; 0: none
+	trust   time.Duration // how long that has to last
+}
+
+// startable is how many tasks may be started now.
+func (j *ownedJob) startable() int {
+	switch {
+	case j.ending != "":
+		return 0
+	case !j.doubt.held:
+		return j.nWait
+	case j.nLoc > 0 || j.doubt.tryAt > 0:
+		return 0
+	}
+	return min(1, j.nWait)
+}
+
+// failed notes that a task of a job has failed on a machine.
+func (o *owner) failed(j *ownedJob, m int32, now time.Duration) {
+	j.fails++
+	d := &j.doubt
+	if d.on == nil {
+		d.on = make(map[int32]bool)
+	}
+	if len(d.on) < failsOn {
+		d.on[m] = true
+	}
+	if (len(d.on) == failsOn || j.fails >= 2*failsOn) && j.nRun == 0 {
+		d.held, d.running = true, 0
+	}
+	if d.held && j.nLoc == 0 {
+		d.tries++
+		d.tryAt = now + failPause(d.tries)
+	}
+}
+
+// trusted ends the doubt about a job.
+func (o *owner) trusted(j *ownedJob) {
+	if j.doubt.held {
+		o.touch(j)
+	}
+	j.doubt = doubt{trust: j.doubt.trust}
+}
+
+// reconsider lets a doubted job try again once its pause is over, and trusts it
+// once a task of it has run for a while. If it fails after that all the same, the
+// next has to run for longer.
+func (o *owner) reconsider(j *ownedJob, now time.Duration) {
+	d := &j.doubt
+	if !d.held {
+		return
+	}
+	if d.tryAt > 0 && now >= d.tryAt {
+		d.tryAt = 0
+		o.touch(j)
+	}
+	switch {
+	case j.nRun == 0:
+		d.running = 0
+	case d.running == 0:
+		d.running = now
+	case now-d.running > max(d.trust, trustAfter):
+		d.trust = 2 * max(d.trust, trustAfter)
+		o.trusted(j)
+	}
+}
+
 // finishTask has a finished task written, or the whole job when it was the
 // last one.
 func (o *owner) finishTask(j *ownedJob, i int32) {
@@ -323,9 +407,10 @@
 // pick chooses up to n waiting tasks of a job for a machine.
 func (o *owner) pick(j *ownedJob, n int, m int32, zone string, session, seq uint64) []*meshpb.Pick {
 	var picks []*meshpb.Pick
-	if j.ending != "" || !j.ledger.joined {
+	if !j.ledger.joined {
 		return nil
 	}
+	n = min(n, j.startable())
 	for len(picks) < n && len(j.queue) > 0 {
 		i := j.queue[0]
 		t := &j.tasks[i]
