--- a/internal/coordination/images.go
+++ b/internal/coordination/images.go
@@ -20,11 +20,13 @@
 	name string
 	gb   float64
 
-	waits                bool    // work waits for it
-	cpus, memory         float64 // of the machines that have it
-	needCPUs, needMemory float64 // CPU and memory seconds that wait for it
-	spare                room    // free on spot machines that have it
-	urgent               float64 // CPUs of urgent tasks that lack room, see shortage
+	waits                bool       // work waits for it
+	cpus, memory         float64    // of the machines that have it
+	needCPUs, needMemory float64    // CPU and memory seconds that wait for it
+	spare                room       // free on spot machines that have it
+	urgent               float64    // CPUs of urgent tasks that lack room, see shortage
+	idle                 float64    // the same of standard tasks, where idle-time work runs
+	idleFor              *leaderJob // the first of these
 }
 
 // cachedImage is an image that a machine has, or is fetching.
@@ -108,7 +110,7 @@
 // that have it.
 func (l *leader) weighImages(now time.Duration) {
 	for _, im := range l.images.byName {
-		*im = image{name: im.name, gb: im.gb, urgent: im.urgent}
+		*im = image{name: im.name, gb: im.gb, urgent: im.urgent, idle: im.idle, idleFor: im.idleFor}
 	}
 	for _, g := range l.ledgers {
 		for _, j := range g.jobs {
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -29,6 +29,7 @@
 	closed    bool
 	closedAt  time.Duration
 	begun     bool // a task of it was located
+	first     bool // this leader has sent a start of it
 	owed      int  // starts on their way that it gets only because it waited for too long
 	stops     int  // how often a task of it made room for others
 	rank      rank
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -12,6 +12,7 @@
 const (
 	weighEvery = 300 * time.Millisecond
 	almostDone = 3 * time.Second // a task this close to its end is not stopped for another
+	saveSpare  = 1.0             // seconds that a task may take longer to save than is said
 )
 
 // shortage is how much room is lacking for what may stop other tasks, beyond
@@ -24,6 +25,8 @@
 	teams  float64       // CPUs that teams lack of their guarantees
 	back   time.Duration // what the dearest task costs that has to be given back
 	lack   []*leaderJob  // the jobs that lack their team's guarantee
+	idle   float64       // CPUs for standard tasks that find no machine; by image in image.idle
+	cheap  time.Duration // what the dearest idle-time task costs that has to be stopped for them
 }
 
 // preempt stops tasks of lower priority on a reporting machine while urgent
@@ -46,6 +49,15 @@
 		}
 		return
 	}
+	if s.idle > 0 {
+		for i := range m.images {
+			if im := m.images[i].image; im.idle > 0 {
+				got := l.makeRoomFor(m, a, im.idleFor, math.Min(im.idle, s.idle), now)
+				im.idle -= got
+				s.idle -= got
+			}
+		}
+	}
 	if s.teams > 0 {
 		for _, j := range s.lack {
 			if l.couldTake(m, j) {
@@ -58,6 +70,12 @@
 
 func isLower(t *placed) bool { return t.job.prio < protocol.PriorityHigh }
 
+// givesWayTo tells whether a task only runs in idle time, and so that its job
+// would not be served before the one that it makes room for.
+func (t *placed) givesWayTo(j *leaderJob) bool {
+	return t.job.prio == protocol.PriorityLow && t.job.team != nil && (t.job.team == j.team || t.job.team.share() > j.team.share())
+}
+
 // isBorrowed tells whether a task uses what its team has beyond its guarantee;
 // a team gives back what it has borrowed, and no more.
 func (l *leader) isBorrowed(t *placed) bool {
@@ -94,12 +112,48 @@
 	return got
 }
 
+// makeRoomFor stops idle-time tasks on a reporting machine as far as whole tasks
+// of a job find room in their place, and returns the CPUs of these.
+func (l *leader) makeRoomFor(m *machine, a *answer, j *leaderJob, short float64, now time.Duration) float64 {
+	free := m.free
+	var idle []*placed
+	for i := range m.tasks {
+		t := &m.tasks[i]
+		if t.known() && t.stopped && t.state != protocol.TaskExited {
+			free.give(t.job.spec)
+		} else if l.stoppable(m, t, now) && t.givesWayTo(j) && stopCost(m, t, now) <= l.short.cheap {
+			idle = append(idle, t)
+		}
+	}
+	sort.SliceStable(idle, func(i, k int) bool { return stopCost(m, idle[i], now) < stopCost(m, idle[k], now) })
+	got := 0.0
+	for got < short {
+		room, n := free, 0
+		for ; n < len(idle) && !room.fits(j.spec); n++ {
+			room.give(idle[n].job.spec)
+		}
+		if !room.fits(j.spec) {
+			break
+		}
+		for _, t := range idle[:n] {
+			t.stopped = true
+			t.job.stops++
+			l.stopTask(m, a, t)
+		}
+		idle, free = idle[n:], room
+		free.take(j.spec)
+		got += j.spec.Cpus
+	}
+	return got
+}
+
 // stoppable tells whether a task can be stopped to make room. A task that was
-// started only because its job had waited for too long is left alone, and so is
-// a job whose tasks made room as often as it has tasks: they would give way for
-// ever.
+// started only because its job had waited for too long is left alone, and the
+// first of an idle-time job, so that it has begun; and so is a job whose tasks
+// made room as often as it has tasks, unless they save what they did: they would
+// give way for ever.
 func (l *leader) stoppable(m *machine, t *placed, now time.Duration) bool {
-	if t.stopped || !t.known() || t.job.closed || m.orders[t.key] != nil || t.owed || t.job.stops >= int(t.job.spec.Tasks) {
+	if t.stopped || !t.known() || t.job.closed || m.orders[t.key] != nil || t.owed || (t.job.stops >= int(t.job.spec.Tasks) && t.job.spec.CheckpointS <= 0) {
 		return false
 	}
 	return t.state == protocol.TaskFetching || (t.state == protocol.TaskRunning && !l.endsSoon(t, now))
@@ -116,14 +170,18 @@
 			}
 		}
 	}
-	return now - t.since
+	if lost := now - t.since; t.job.spec.CheckpointS <= 0 {
+		return lost
+	} else {
+		return min(lost, seconds(t.job.spec.SaveS+1)) // it saves first
+	}
 }
 
 // stopTask orders a task to save if it can and to stop.
 func (l *leader) stopTask(m *machine, a *answer, t *placed) {
 	grace := 0.0
 	if t.job.spec.CheckpointS > 0 {
-		grace = t.job.spec.SaveS + 1
+		grace = t.job.spec.SaveS + saveSpare
 	}
 	l.order(m, &meshpb.Order{Machine: m.index, Job: t.key.job, Task: t.key.task, Attempt: t.key.attempt, GraceS: grace})
 	a.commands = append(a.commands, protocol.Command{Op: protocol.VerbStop,
@@ -140,10 +198,37 @@
 	*s = shortage{at: now}
 	l.weighUrgent(now)
 	if s.urgent <= 0 {
+		l.weighIdle(now)
 		l.weighTeams(now)
 	}
 }
 
+// weighIdle finds the standard tasks that wait while on machines that have their
+// image what was only to run in idle time goes on. They get its place if that
+// loses less than a new machine would take to come, or if none is to be had.
+func (l *leader) weighIdle(now time.Duration) {
+	s := &l.short
+	for _, im := range l.images.byName {
+		im.idle, im.idleFor = 0, nil
+	}
+	for _, j := range l.demand.jobs {
+		if j.prio != protocol.PriorityNormal || j.unserved() == 0 || !l.withinLimit(j) {
+			continue
+		}
+		if j.image.idleFor == nil {
+			j.image.idleFor = j
+		}
+		n := float64(j.unserved()) * j.spec.Cpus
+		j.image.idle += n
+		s.idle += n
+		if l.rent.available(j, now) {
+			s.cheap = max(s.cheap, l.rent.lead(j))
+		} else {
+			s.cheap = time.Duration(math.MaxInt64)
+		}
+	}
+}
+
 // weighUrgent finds the urgent tasks that lack room where they could go: on
 // machines that have their image, or on any if they would rather have it
 // fetched than wait.
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -338,8 +338,8 @@
 		a.commands = append(a.commands, protocol.Command{Op: protocol.VerbStart,
 			Task: protocol.TaskName(p.pick.Job, int(p.pick.Task)), Attempt: p.pick.Attempt})
 		m.sent = append(m.sent, placed{key: taskKey{p.pick.Job, p.pick.Task, p.pick.Attempt}, state: protocol.TaskFetching,
-			job: j, since: now, owed: j.owed > 0})
-		j.owed = max(0, j.owed-1)
+			job: j, since: now, owed: j.owed > 0 || (j.prio == protocol.PriorityLow && !j.first)})
+		j.owed, j.first = max(0, j.owed-1), true
 		if m.listing {
 			j.listed++
 		}
--- a/internal/coordination/served_test.go
+++ b/internal/coordination/served_test.go
@@ -208,3 +208,63 @@
 		}
 	}
 }
+
+// What only runs in idle time, here of a guest team without a guarantee, makes
+// room for standard work as far as whole tasks of it fit, also if it has all
+// machines and no more are to be had. It has begun all the same, and goes on with
+// what it saved.
+func TestIdleWorkMakesRoom(t *testing.T) {
+	for _, saves := range []bool{true, false} {
+		w := newWorld(t, "a", "b", "c")
+		for i := range 4 {
+			w.worker(fmt.Sprintf("vm-%d", i), "z1")
+		}
+		w.run(2 * time.Second)
+		guest := form("wk-1", 40).with("crew", "guest").with("urgency", "best_effort").with("expectedS", 300.0)
+		if saves {
+			guest.with("proofEveryS", 30.0).with("proofS", 2.0)
+		}
+		want(t, "guest", w.leader().submit(guest).Status, 201)
+		w.run(10 * time.Second)
+		want(t, "guest's tasks", w.total(), 16)
+		w.cloud.refuse = true
+		owner := w.follower()
+		want(t, "owner's job", owner.submit(form("wk-2", 5).with("crew", "red").with("vcpus", 6.0)).Status, 201)
+		w.run(8 * time.Second)
+		count := func(job string) int {
+			n := 0
+			for _, k := range w.workers {
+				for _, name := range k.running() {
+					if strings.HasPrefix(name, job+"/") {
+						n++
+					}
+				}
+			}
+			return n
+		}
+		// On one machine the guest's first task is left, with room for three of two CPUs.
+		want(t, "owner's tasks", count("wk-2"), 4)
+		want(t, "guest's tasks beside them", count("wk-1"), 4)
+		want(t, "of these the first", fmt.Sprint(w.workerOf("wk-1/0") != nil), "true")
+		for range 30 { // it comes back wherever the owner's are over
+			w.finishTask(fmt.Sprint("wk-2/", 0))
+			w.finishTask(fmt.Sprint("wk-2/", 1))
+			w.run(time.Second)
+		}
+		if n := count("wk-1"); n < 7 {
+			t.Fatalf("%d of the guest's tasks run again", n)
+		}
+	}
+}
+
+// workerOf is the machine that a task runs on.
+func (w *world) workerOf(task string) *worker {
+	for _, k := range w.workers {
+		for _, name := range k.running() {
+			if name == task {
+				return k
+			}
+		}
+	}
+	return nil
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -65,6 +65,8 @@
 name = "blue"
 cpus = 8.0
 cpus_max = 0.0
+[[settings.teams]]
+name = "guest"
 [settings.workers]
 report_s = 2.0
 lease_s = 16.0
