Recovered tasks wait neither for machines that come up nor for names of gone ones

Cause: a ledger that changes hands is settled when every machine that may hold a task has reported. Machines that come up all the time counted as such, and so did hundreds of names that no list has, for 25 to 44 s after a change of leader. Ruled out: the state service, the ledger's recovery, workers that look for the leader (all had reported after 13 s).

--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -543,3 +543,66 @@
 		t.Fatalf("a takeover takes %d writes", n)
 	}
 }
+
+// Machines come up all the time, and each has been heard of before it has had the
+// leader's token. They hold nothing, so a ledger that changes hands does not wait
+// for them: waited for, there was always one, and recovered tasks did not start.
+func TestMachinesThatComeUpKeepNothingWaiting(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	for i := range 3 {
+		w.worker(fmt.Sprintf("vm-%d", i), "z1")
+		w.worker(fmt.Sprintf("vm-4%d", i), "z1").deaf = true // its first report, as often as need be
+	}
+	w.run(10 * time.Second)
+	f := w.follower()
+	want(t, "submit", f.submit(form("wk-1", 30)).Status, 201)
+	w.run(3 * time.Second)
+	w.crash(f.name)
+	lead := w.leader()
+	settled := func() bool {
+		l := lead.core.owner.ledgers[f.name]
+		return l != nil && l.settled
+	}
+	waited := 0
+	for ; !settled() && waited < 30; waited++ {
+		w.worker(fmt.Sprintf("vm-5%d", waited), "z1").deaf = true
+		w.run(time.Second)
+	}
+	if waited > 8 {
+		t.Fatalf("the ledger is settled after %d s", waited)
+	}
+}
+
+// Machines that were returned or taken before the last leader ended are named in
+// its records still. They are returned once more, as proof, as soon as all others
+// have had time to report, also if the list showed them for a while.
+func TestVanishedMachinesAreProvenGoneSoon(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	for i := range 6 {
+		w.worker(fmt.Sprintf("vm-%d", i), "z1")
+	}
+	w.run(8 * time.Second)
+	lead := w.leader()
+	want(t, "submit", lead.submit(form("wk-1", 40)).Status, 201)
+	w.run(3 * time.Second)
+	lost := []string{"vm-1", "vm-3"}
+	old := append([]cloudMachine(nil), w.cloud.machines...)
+	for _, name := range lost {
+		delete(w.workers, name)
+	}
+	w.crash(lead.name)
+	w.cloud.older = old // for a while the list has them still
+	w.run(4 * time.Second)
+	w.cloud.older = nil
+	kept := w.cloud.machines[:0]
+	for _, m := range w.cloud.machines {
+		if m.name != lost[0] && m.name != lost[1] {
+			kept = append(kept, m)
+		}
+	}
+	w.cloud.machines = kept
+	w.run(6 * time.Second)
+	next := w.leader().core
+	want(t, "settled", next.owner.ledgers[lead.name].settled, true)
+	want(t, "returned", fmt.Sprint(w.cloud.released), "[vm-1 vm-3]")
+}
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -303,10 +303,15 @@
 
 // accounted tells whether a ledger's present owner has been told all that may
 // be on a machine: by a report since it joined, or by the last one before if
-// nothing of the ledger was sent to the machine after that.
+// nothing of the ledger was sent to the machine after that. One that this leader
+// was the first to name, and that has not had its token, holds nothing: waited
+// for, the machines that come up all the time kept a ledger from being settled.
 func (l *leader) accounted(m *machine, g *leaderLedger) bool {
-	if m.currentAt == 0 || m.currentAt > g.joinedAt {
-		return m.currentAt > 0
+	switch {
+	case m.currentAt == 0:
+		return !m.inherited
+	case m.currentAt > g.joinedAt:
+		return true
 	}
 	for i := range m.sent {
 		if m.sent[i].job.ledger == g {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -58,6 +58,7 @@
 	rentedAt     time.Duration // 0: not known
 	record       string        // state key that names it; without one it gets no starts
 	recording    bool
+	inherited    bool // an earlier leader named it, and may have given it tasks
 	leaving      bool // being returned: no offers any more
 	releasing    bool
 	pending      *answer
@@ -241,7 +242,7 @@
 func (l *leader) shade(m *machine, now time.Duration) {
 	dark := room{}
 	if !m.gone && !l.leaseOver(m, now) {
-		unknown := m.currentAt == 0 && m.record != ""
+		unknown := m.currentAt == 0 && m.inherited
 		for i := range m.tasks {
 			unknown = unknown || (m.tasks[i].job == nil && m.tasks[i].state != protocol.TaskExited)
 		}
--- a/internal/coordination/roster.go
+++ b/internal/coordination/roster.go
@@ -17,6 +17,8 @@
 	namesPerRecord = 100
 	nameRoom       = 8                      // what a name takes in a record besides its letters, at the most
 	nameEvery      = 250 * time.Millisecond // new machines gather for one record
+	reportVaries   = 1.25                   // times their interval, up to which reports come apart
+	triesAgain     = 2 * time.Second        // in which workers find a new leader
 )
 
 // wantName has a machine named that was not yet.
@@ -81,7 +83,7 @@
 		for key, names := range records {
 			for _, name := range names {
 				if m := l.machines.add(name); m != nil {
-					m.record = key
+					m.record, m.inherited = key, true
 					l.shade(m, now)
 				}
 			}
@@ -149,9 +151,14 @@
 }
 
 // vanished tells whether a machine that only an old record names is not to be
-// found: it does not report, and no list has it. Most likely it was returned
-// just before the last leader ended; returning it once more proves it gone.
+// found: it has not reported within the time in which all others have, and the
+// present list lacks it. Most likely it was returned or taken before the last
+// leader ended; returning it once more proves it gone. Until then a recovered
+// ledger's tasks wait for it.
 func (l *leader) vanished(m *machine, now time.Duration) bool {
-	return !m.reported && m.rentedAt == 0 && m.record != "" &&
-		now-l.since > l.c.silenceAfter() && l.c.fleet.listedAt > l.since
+	if m.reported || !m.inherited || l.c.fleet.listedAt <= l.since {
+		return false
+	}
+	_, listed := l.c.fleet.listed[m.name]
+	return !listed && now-l.since > seconds(reportVaries*l.c.cfg.Settings.Workers.ReportS)+triesAgain
 }
