A lost answer of the state service is settled within 0.4 s while it is quick

Cause: since what begins and ends goes out together, an answer that does not come held all of it up for 1.5 s.

--- a/internal/bookkeeping/ledger_test.go
+++ b/internal/bookkeeping/ledger_test.go
@@ -18,7 +18,10 @@
 	keys    map[string][]byte
 	sizes   []int // changes of each transaction
 	total   int
-	limited int // requests that will be refused for their rate
+	limited int           // requests that will be refused for their rate
+	takes   time.Duration // an answer
+	lost    int           // transactions that will get none
+	waited  time.Duration // for the last transaction's answer, at the most
 
 	stamps map[string]uint64 // heeded as conditions once a test has made it
 	// unsure may leave a transaction without an answer: carried out, not, or later.
@@ -27,7 +30,17 @@
 
 func (s *scripted) Now() time.Duration { return s.now }
 
-func (s *scripted) Call(method, path string, body []byte, _ time.Duration, done func(Result)) {
+func (s *scripted) Call(method, path string, body []byte, timeout time.Duration, done func(Result)) {
+	s.now += s.takes
+	if path == "/multi" {
+		s.waited = timeout
+		if s.lost > 0 {
+			s.lost--
+			s.now += timeout - s.takes
+			done(Result{})
+			return
+		}
+	}
 	if s.limited > 0 {
 		s.limited--
 		done(Result{Status: 429})
@@ -289,3 +302,36 @@
 		t.Fatalf("got %v", got)
 	}
 }
+
+// What users wait for is not held up by a lost answer for longer than answers
+// take of late; a service that has become slow is given its time.
+func TestWaitFollowsTheService(t *testing.T) {
+	s, store := newScripted(t)
+	store.limits.Timeout = 1500 * time.Millisecond
+	write := func(n int) {
+		for range n {
+			s.now += time.Second
+			store.Txn(Foreground, protocol.Txn{Then: []protocol.Change{{Delete: "k"}}}, func(TxnResult) {})
+		}
+	}
+	expect := func(when string, least, most time.Duration) {
+		t.Helper()
+		if s.waited < least || s.waited > most {
+			t.Fatalf("%s: an answer is waited for for %v", when, s.waited)
+		}
+	}
+	s.takes = 5 * time.Millisecond
+	write(20)
+	expect("quick", 300*time.Millisecond, 500*time.Millisecond)
+	s.lost = 1
+	write(2)
+	expect("after a lost answer", 300*time.Millisecond, 700*time.Millisecond)
+	s.lost = 5
+	write(6)
+	expect("after several", time.Second, 1500*time.Millisecond)
+	write(100)
+	expect("quick again", 300*time.Millisecond, 500*time.Millisecond)
+	s.takes = 300 * time.Millisecond
+	write(3)
+	expect("slow", 1200*time.Millisecond, 1500*time.Millisecond)
+}
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -50,6 +50,9 @@
 	limitedHold = 250 * time.Millisecond // after the service refused a request for its rate
 	reserve     = 0.5                    // of the write burst, which Background leaves to others
 	patience    = 2 * time.Second        // after which Background leaves nothing to others
+	shortest    = 400 * time.Millisecond // that an answer is waited for
+	slowly      = 4                      // times the slowest answer of late, that one is waited for
+	forget      = 0.97                   // of that, what each answer leaves
 )
 
 // Class is how soon a request goes out.
@@ -103,6 +106,7 @@
 	failing bool
 	delayed []delayedCall
 	lookups lookups
+	slowest time.Duration // answer of late
 }
 
 type delayedCall struct {
@@ -238,7 +242,14 @@
 func (s *Store) send(r request) {
 	s.reads.level--
 	s.writes.level -= float64(r.writes)
-	s.caller.Call(r.method, r.path, r.body, r.timeout, func(res Result) {
+	timeout, sent := r.timeout, s.clock.Now()
+	if timeout == 0 {
+		timeout = s.wait(r.class)
+	}
+	s.caller.Call(r.method, r.path, r.body, timeout, func(res Result) {
+		if r.timeout == 0 && !res.NotSent {
+			s.learn(s.clock.Now()-sent, res.Status > 0)
+		}
 		if res.Status == 429 && r.class != Urgent {
 			// Surely not executed: it is the next one to go, after a pause.
 			s.held = s.clock.Now() + limitedHold
@@ -250,11 +261,26 @@
 	})
 }
 
+// wait is how long an answer is waited for. What users wait for is settled soon
+// if its answer does not come: all that begins or ends meanwhile stands behind it.
+func (s *Store) wait(class Class) time.Duration {
+	if class != Foreground {
+		return s.limits.Timeout
+	}
+	return min(s.limits.Timeout, max(shortest, slowly*s.slowest))
+}
+
+// learn takes in how long an answer took, or that none came in time: one that is
+// lost says little, several in a row that answers take longer.
+func (s *Store) learn(took time.Duration, answered bool) {
+	if !answered {
+		took = max(s.slowest, took/slowly) * 3 / 2
+	}
+	s.slowest = max(took, time.Duration(forget*float64(s.slowest)))
+}
+
 // submit queues a request.
 func (s *Store) submit(r request) {
-	if r.timeout == 0 {
-		r.timeout = s.limits.Timeout
-	}
 	if r.class == Urgent {
 		s.send(r)
 		return
