--- a/internal/coordination/mistake_test.go
+++ b/internal/coordination/mistake_test.go
@@ -94,3 +94,22 @@
 	w.run(30 * time.Second)
 	want(t, "running", w.total(), 20)
 }
+
+// The only machine that there is fails everything: it is set aside and another is
+// rented, instead of taking every job for a mistaken one.
+func TestOnlyMachineThatFails(t *testing.T) {
+	w := newWorld(t, "a")
+	w.worker("vm-1", "z1")
+	w.run(2 * time.Second)
+	for i := range 3 {
+		want(t, "submit", w.nodes["a"].submit(form(fmt.Sprint("wk-", i+1), 1)).Status, 201)
+	}
+	for range 20 {
+		w.run(time.Second)
+		w.fail("wk-1", "wk-2", "wk-3")
+	}
+	want(t, "returned", fmt.Sprint(w.cloud.released), "[vm-1]")
+	w.worker("vm-2", "z1")
+	w.run(20 * time.Second)
+	want(t, "running", w.total(), 3)
+}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -486,5 +486,5 @@
 // failsAnywhere tells whether a job has failed on so many machines, or so great a
 // part of them, that the mistake is its own.
 func (j *leaderJob) failsAnywhere(machines int) bool {
-	return len(j.errorsOn) >= failsOn || 2*len(j.errorsOn) > machines
+	return len(j.errorsOn) >= failsOn || (len(j.errorsOn) > 1 && 2*len(j.errorsOn) > machines)
 }
