Cancellations outlive refusals and outages; jobs created as a leader begins are served

Whoever answers reports must know what has been confirmed as cancelled, or cease.

- An owner whose write of the end got no answer did not tell the leader, while others read the end and told the user.
The leader stops a job's tasks from the request on (JobDemand.ending).
- A leader that goes on by promises did so although the last holder of a ledger had ended with what it knew.
It goes on only while every ledger has joined it.
- An owner whose watch shows nothing told the old leader.
It believes the beats and questions of whoever leads under a newer token, and joins.
- A job whose record a new leader had read while its owner still waited for the answer of its creation counted as over at that leader for good, and never ran.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -356,6 +356,7 @@
 			c.relay.peerLoad[p] = b.Beat.Load
 		}
 		if b.Beat.LeaderOk {
+			c.session.leads(p, b.Beat.Token)
 			c.stream.onBeat(p, b.Beat)
 		}
 	case *meshpb.Frame_Joined:
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -22,11 +22,13 @@
 	image     *image
 	only      string // the one type that its tasks fit on, or none
 	waiting   int
-	located   int // absolute, by the owner
-	offered   int // in offers that are not answered yet
-	listed    int // live copies that machines list, or were sent
-	used      int // how many its team's use holds for it
+	located   int  // absolute, by the owner
+	offered   int  // in offers that are not answered yet
+	listed    int  // live copies that machines list, or were sent
+	used      int  // how many its team's use holds for it
+	ending    bool // its user wants it cancelled: nothing is started, what runs is stopped
 	closed    bool
+	omitted   bool // closed only because its ledger's owner did not list it when it joined
 	closedAt  time.Duration
 	begun     bool // a task of it was located
 	first     bool // this leader has sent a start of it
@@ -39,7 +41,7 @@
 
 // unserved is how many tasks wait and are not on offer.
 func (j *leaderJob) unserved() int {
-	if j.closed || j.team == nil || j.ledger.from == nil {
+	if j.closed || j.ending || j.team == nil || j.ledger.from == nil {
 		return 0
 	}
 	return max(0, j.waiting-j.offered)
@@ -147,6 +149,11 @@
 		l.jobs[d.Job] = j
 	}
 	j.ledger = g
+	if j.omitted && d.Spec && !d.Closed {
+		// It was being created: this leader had read its record already when the
+		// owner, which had no answer yet, joined. Closed for good it never ran.
+		j.closed, j.omitted = false, false
+	}
 	if d.Spec && !j.closed {
 		told := j.spec != nil && j.spec.SubmittedMs > 0
 		l.describe(j, d)
@@ -184,7 +191,7 @@
 	if int(d.Waiting) > j.waiting {
 		l.demand.stale = true
 	}
-	j.waiting, j.located = int(d.Waiting), int(d.Located)
+	j.waiting, j.located, j.ending = int(d.Waiting), int(d.Located), d.Ending
 	j.begun = j.begun || j.located > 0
 	l.recount(j)
 }
@@ -223,6 +230,7 @@
 	for id, j := range g.jobs {
 		if g.arriving[id] == nil {
 			l.closeJob(j)
+			j.omitted = true
 		}
 	}
 	g.from, g.link, g.stamp, g.joinedAt, g.settled, g.counted = p, p.link, f.Stamp, now, false, true
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -245,7 +245,9 @@
 }
 
 // withdraw ends a job as its user asks; done gets its final status, or none
-// if that cannot be said here.
+// if that cannot be said here. The leader stops its tasks from now on: the end
+// may be written without this owner learning of it for as long as an outage
+// lasts, while others read it and tell the user (ran_cancelled).
 func (o *owner) withdraw(j *ownedJob, done func(status string)) {
 	j.onFinal = append(j.onFinal, done)
 	o.end(j, protocol.StatusWithdrawn)
@@ -297,7 +299,8 @@
 
 // demand is what the leader has to know of a job.
 func (j *ownedJob) demand(spec bool) *meshpb.JobDemand {
-	d := &meshpb.JobDemand{Job: j.id, Waiting: uint32(j.startable()), Located: uint32(j.nLoc), Closed: j.final}
+	d := &meshpb.JobDemand{Job: j.id, Waiting: uint32(j.startable()), Located: uint32(j.nLoc), Closed: j.final,
+		Ending: j.ending == protocol.StatusWithdrawn}
 	if !spec {
 		return d
 	}
--- a/internal/coordination/promise.go
+++ b/internal/coordination/promise.go
@@ -91,8 +91,15 @@
 	}
 }
 
-// until is up to when every other member is bound.
+// until is up to when every other member is bound. To a leader promises are
+// worth something only while every ledger has joined it: whoever confirms a
+// cancellation then tells it on the stream that brings the promise, or ceases to
+// promise. The last holder of a ledger that nobody answers for may have confirmed
+// one and ended before it could tell (ran_cancelled).
 func (p *promises) until(c *Core) time.Duration {
+	if c.leader != nil && !c.leader.allJoined() {
+		return 0
+	}
 	until := time.Duration(math.MaxInt64) // a member alone needs nobody's
 	for name := range c.peers {
 		asked, ok := p.granted[name]
@@ -134,6 +141,9 @@
 func (s *session) onPromiseAsk(from *peer, f *meshpb.PromiseAsk) {
 	given := s.viewOK && s.self != 0 && len(f.Keys) > 0
 	for _, k := range f.Keys {
+		if k.Key == bookkeeping.LeaderKey && given {
+			s.leads(from, k.Stamp)
+		}
 		held := &s.leaderK
 		name := bookkeeping.LeaderKey
 		if k.Key != bookkeeping.LeaderKey {
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -276,13 +276,14 @@
 		t := &m.tasks[i]
 		order := m.orders[t.key]
 		over := (t.job == nil && all) || (t.job != nil && t.job.closed)
+		ending := over || (t.job != nil && t.job.ending)
 		exited := t.state == protocol.TaskExited
 		switch {
 		case exited && (over || (order != nil && order.Reap)):
 			cmds = append(cmds, protocol.Command{Op: protocol.VerbForget, Task: protocol.TaskName(t.key.job, int(t.key.task)), Attempt: t.key.attempt})
-		case !exited && (over || (order != nil && !order.Reap)):
+		case !exited && (ending || (order != nil && !order.Reap)):
 			grace := 0.0
-			if order != nil && !over {
+			if order != nil && !ending {
 				grace = order.GraceS
 			}
 			cmds = append(cmds, protocol.Command{Op: protocol.VerbStop, Task: protocol.TaskName(t.key.job, int(t.key.task)), Attempt: t.key.attempt, GraceS: &grace})
@@ -332,7 +333,7 @@
 	}
 	for _, p := range a.picks {
 		j := l.jobs[p.pick.Job]
-		if j == nil || j.closed {
+		if j == nil || j.closed || j.ending {
 			continue
 		}
 		a.commands = append(a.commands, protocol.Command{Op: protocol.VerbStart,
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -330,6 +330,18 @@
 	}
 }
 
+// leads takes a member's word that it leads under a token, which is the stamp
+// that it wrote the leader key with. The watch may show that much later, or not
+// before the end of an outage: an owner that joins a leader of before, or none,
+// would tell nobody who answers reports what its users cancel (ran_cancelled).
+func (s *session) leads(p *peer, token uint64) {
+	if p == s.c.self || token <= s.leaderK.stamp {
+		return
+	}
+	s.see(bookkeeping.LeaderKey, s.c.codec.Encode(bookkeeping.Holder{Member: p.member}), token, true)
+	s.c.stream.join()
+}
+
 // othersHoldOwn notes that whoever gave this member's own ledger up may hold it
 // again.
 func (s *session) othersHoldOwn() {
