--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -226,6 +226,12 @@
 		done(bookkeeping.Unavailable)
 		return
 	}
+	if o.jobs[spec.ID] != nil {
+		// A repeat while the end is being written: in one batch with the end it
+		// ended the process.
+		done(bookkeeping.Exists)
+		return
+	}
 	if cr := l.creates[spec.ID]; cr != nil {
 		cr.waiters = append(cr.waiters, done)
 		return
