Services, and the state service's next limits, beside the version before

A service's tasks run until it is cancelled: one that ends runs again elsewhere, one that ends again and again is doubted as other jobs are. Standby machines, kept for services of the kinds that came of late, hold room for those to come; each of a service's tasks counts with no end in estimates and sizing.

Limits that are to come (state.next) hold from the first write. Books and pages written under larger ones are never rewritten: names are struck out elsewhere and bit sets move, until all that the old record says is over.

Services are refused (503) while a member may run the version before, which its own key tells.

--- a/internal/bookkeeping/jobs.go
+++ b/internal/bookkeeping/jobs.go
@@ -150,7 +150,7 @@
 	}
 	b := &batch{struck: make(map[string]*draft)}
 	var t protocol.Txn
-	size, room := 0, l.store.limits.ValueBytes*3/4
+	size, room := 0, l.store.recordRoom()
 	for len(l.ops) > 0 && len(t.Then)+max(1, len(b.drafts)) < limit && size < maxTxnBytes/2 {
 		op := l.ops[0]
 		switch {
@@ -211,18 +211,9 @@
 	if len(b.drafts) >= changes {
 		return false
 	}
-	var best *draft
-	for _, k := range l.books {
-		if d := k.draft(); !b.holds(k) && d.room()+j.room <= room && (best == nil || d.room() < best.room()) {
-			best = d
-		}
-	}
-	if best == nil {
-		l.lastBook++
-		best = (&book{n: l.lastBook}).draft()
-	}
-	best.jobs[j.rec.Job.ID] = j
-	b.drafts = append(b.drafts, best)
+	d := l.roomiest(b, j.room, room)
+	d.jobs[j.rec.Job.ID] = j
+	b.drafts = append(b.drafts, d)
 	return true
 }
 
@@ -251,10 +242,45 @@
 	}
 	d := j.book.draft()
 	delete(d.jobs, id)
+	if l.store.tooLarge(d) {
+		// Its record was written under larger limits. It stays as it is until
+		// all of its jobs are over; their names are struck out elsewhere.
+		d = l.roomiest(b, overRoom, room)
+		d.over[id] = true
+		b.struck[id] = d
+	}
 	b.drafts = append(b.drafts, d)
 	return true
 }
 
+// roomiest is a draft of the book outside a batch that has most room, if that is
+// enough, else of a new one.
+func (l *Ledger) roomiest(b *batch, need, room int) *draft {
+	var best *draft
+	for _, k := range l.books {
+		if d := k.draft(); !b.holds(k) && d.room()+need <= room && (best == nil || d.room() < best.room()) {
+			best = d
+		}
+	}
+	if best == nil {
+		l.lastBook++
+		best = (&book{n: l.lastBook}).draft()
+	}
+	return best
+}
+
+// recordRoom is what a record with several entries may take.
+func (s *Store) recordRoom() int { return s.limits.ValueBytes * 3 / 4 }
+
+// tooLarge tells whether a draft can't be written.
+func (s *Store) tooLarge(d *draft) bool { return !d.empty() && d.room() > s.limits.ValueBytes }
+
+// Fits tells whether what the records say of a job stays within the state
+// service's limit of a value.
+func (s *Store) Fits(j *protocol.Job) bool {
+	return s.jsonRoom(len(s.codec.Encode(OwnRecord{Job: *j}))) <= s.limits.ValueBytes && roomFor(j, 0) <= s.limits.ValueBytes
+}
+
 func (b *batch) holds(k *book) bool {
 	for _, d := range b.drafts {
 		if d.of == k {
@@ -268,7 +294,7 @@
 func (l *Ledger) mostStale(b *batch) *book {
 	var best *book
 	for _, k := range l.books {
-		if !b.holds(k) && (len(k.stale) > 0 || len(k.jobs)+len(k.over) == 0) && (best == nil || len(k.stale) > len(best.stale)) {
+		if !b.holds(k) && !l.store.tooLarge(k.draft()) && (len(k.stale) > 0 || len(k.jobs)+len(k.over) == 0) && (best == nil || len(k.stale) > len(best.stale)) {
 			best = k
 		}
 	}
--- a/internal/bookkeeping/jobs_test.go
+++ b/internal/bookkeeping/jobs_test.go
@@ -14,7 +14,7 @@
 func (s *scripted) hold(t *testing.T, store *Store, nonce string) *Ledger {
 	t.Helper()
 	s.rev++
-	me := Holder{"n", nonce}
+	me := Holder{Member: "n", Nonce: nonce}
 	s.keys[LedgerKey("n")], s.stamps[LedgerKey("n")] = s.codec.Encode(me), s.rev
 	return NewLedger(store, "n", me, 1, s.rev, func() { t.Fatal("lost") })
 }
--- a/internal/bookkeeping/ledger.go
+++ b/internal/bookkeeping/ledger.go
@@ -40,8 +40,17 @@
 type Holder struct {
 	Member string `cbor:"m"`
 	Nonce  string `cbor:"n"`
+	// Records tells which records the process can read: 0, before there were
+	// services, no job that does not end by itself.
+	Records int `cbor:"r,omitempty"`
 }
 
+// RecordsNow is what this version reads.
+const RecordsNow = 1
+
+// MemberOfKey is the inverse of SelfKey.
+func MemberOfKey(key string) (string, bool) { return strings.CutPrefix(key, selfPrefix) }
+
 // JobRecord is the value of a job's key. Status is empty until the job has
 // come to its end.
 type JobRecord struct {
--- a/internal/bookkeeping/ledger_test.go
+++ b/internal/bookkeeping/ledger_test.go
@@ -123,7 +123,7 @@
 
 func TestFinishedTasksOfALargeJob(t *testing.T) {
 	s, store := newScripted(t)
-	l := NewLedger(store, "n", Holder{"n", "x"}, 1, 5, func() { t.Fatal("lost") })
+	l := NewLedger(store, "n", Holder{Member: "n", Nonce: "x"}, 1, 5, func() { t.Fatal("lost") })
 	job := &protocol.Job{ID: "wk-1", Tasks: protocol.MaxTasks}
 	created := false
 	l.Create(job, 7, "nonce", 0, func(r CreateResult) { created = r == Created })
@@ -157,7 +157,7 @@
 		}
 	}
 
-	again := NewLedger(store, "n", Holder{"n", "y"}, 2, 9, func() { t.Fatal("lost") })
+	again := NewLedger(store, "n", Holder{Member: "n", Nonce: "y"}, 2, 9, func() { t.Fatal("lost") })
 	var got []RecoveredJob
 	again.Recover(func(jobs []RecoveredJob) { got = jobs })
 	if len(got) != 1 || got[0].AtMs != 7 {
@@ -200,7 +200,7 @@
 // more writes than the service allows, and what users wait for would be late.
 func TestManyJobsShareRecords(t *testing.T) {
 	s, store := newScripted(t)
-	l := NewLedger(store, "n", Holder{"n", "x"}, 1, 5, func() { t.Fatal("lost") })
+	l := NewLedger(store, "n", Holder{Member: "n", Nonce: "x"}, 1, 5, func() { t.Fatal("lost") })
 	jobs := make([]*protocol.Job, 300)
 	for i := range jobs {
 		jobs[i] = &protocol.Job{ID: fmt.Sprintf("wk-%d", i), Tasks: 700}
@@ -254,7 +254,7 @@
 	if left != 1 || len(l.pages) != 1 {
 		t.Fatalf("%d records are left, %d pages", left, len(l.pages))
 	}
-	again := NewLedger(store, "n", Holder{"n", "y"}, 2, 9, func() { t.Fatal("lost") })
+	again := NewLedger(store, "n", Holder{Member: "n", Nonce: "y"}, 2, 9, func() { t.Fatal("lost") })
 	again.Recover(func(got []RecoveredJob) {
 		if len(got) != 1 || !got[0].Done[1] || !got[0].Done[600] || got[0].Done[2] {
 			t.Fatal("the finished tasks are not recovered")
--- a/internal/bookkeeping/pages.go
+++ b/internal/bookkeeping/pages.go
@@ -29,6 +29,7 @@
 	room    int      // that it takes in the record at the most
 	waiters []func() // of the next write
 	over    bool     // its job has ended
+	old     *page    // one that can't be rewritten and says less of it; nil: there is none
 }
 
 // page is one record with the finished tasks of many jobs, so that the writes
@@ -55,11 +56,25 @@
 	}
 	delete(l.chunks, k)
 	c.over, c.waiters = true, nil
-	p := c.page
-	delete(p.chunks, k)
-	p.room -= c.room
-	if len(p.chunks) == 0 {
-		p.dirty = true
+	for _, p := range []*page{c.page, c.old} {
+		if p == nil {
+			continue
+		}
+		delete(p.chunks, k)
+		p.room -= c.room
+		if len(p.chunks) == 0 {
+			p.dirty = true
+		}
+	}
+}
+
+// move takes a chunk whose page was written under larger limits, and can't be
+// rewritten, to another. The old one stays as it is until all of its chunks' jobs
+// are over; whoever reads both takes what either says.
+func (l *Ledger) move(k chunkKey, c *chunk) {
+	if c.page.room > l.store.limits.ValueBytes {
+		c.old, c.page = c.page, nil
+		l.place(k, c)
 	}
 }
 
@@ -74,6 +89,8 @@
 		c = &chunk{room: roomFor(j, k.n)}
 		l.chunks[k] = c
 		l.place(k, c)
+	} else {
+		l.move(k, c)
 	}
 	c.bits = setBit(c.bits, task%chunkTasks)
 	c.page.dirty = true
@@ -83,7 +100,7 @@
 // place puts a chunk on a page that has room for it.
 func (l *Ledger) place(k chunkKey, c *chunk) {
 	for _, p := range l.pages {
-		if len(p.chunks) == 0 || p.room+c.room <= l.store.limits.ValueBytes*3/4 {
+		if len(p.chunks) == 0 || p.room+c.room <= l.store.recordRoom() {
 			c.page = p
 			break
 		}
@@ -211,6 +228,11 @@
 		}
 		p.dirty = len(p.chunks) == 0
 	}
+	for _, c := range l.chunks {
+		if c.old != nil && c.page.room > c.old.room {
+			c.page, c.old = c.old, c.page
+		}
+	}
 }
 
 func (l *Ledger) readChunk(p *page, name, text string, jobs []RecoveredJob, index map[string]int) {
@@ -222,8 +244,15 @@
 		return // left over from a job that has ended
 	}
 	k := chunkKey{id, n}
-	c := &chunk{bits: bits, page: p, room: roomFor(&jobs[i].Job, n)}
-	l.chunks[k], p.chunks[k] = c, c
+	c := l.chunks[k]
+	if c == nil {
+		c = &chunk{page: p, room: roomFor(&jobs[i].Job, n)}
+		l.chunks[k] = c
+	} else { // it was moved from one of the two, see move
+		c.page, c.old = p, c.page
+	}
+	c.bits = union(c.bits, bits)
+	p.chunks[k] = c
 	p.room += c.room
 	for b := range len(bits) * 8 {
 		if t := n*chunkTasks + b; bits[b/8]&(1<<(b%8)) != 0 && t < len(jobs[i].Done) {
@@ -235,6 +264,16 @@
 // FlushEvery is how long finished tasks gather before they are written.
 const FlushEvery = 300 * time.Millisecond
 
+func union(a, b []byte) []byte {
+	if len(a) < len(b) {
+		a, b = b, a
+	}
+	for i := range b {
+		a[i] |= b[i]
+	}
+	return a
+}
+
 func setBit(bits []byte, n int) []byte {
 	for len(bits) <= n/8 {
 		bits = append(bits, 0)
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -191,15 +191,16 @@
 	}
 	c := &Core{
 		env: env, cfg: cfg, tune: tune, codec: codec, log: env.Log, started: env.Clock.Now(),
-		me:     bookkeeping.Holder{Member: cfg.Member, Nonce: strconv.FormatUint(incarnation, 36)},
+		me:     bookkeeping.Holder{Member: cfg.Member, Nonce: strconv.FormatUint(incarnation, 36), Records: bookkeeping.RecordsNow},
 		peers:  make(map[string]*peer),
 		byLink: make(map[Link]*peer),
 	}
 	rps, writeRPS := c.stateShare(1 + len(cfg.Known))
+	kept := cfg.Settings.State.Kept()
 	c.store = bookkeeping.NewStore(env.State, env.Clock, codec, bookkeeping.Limits{
 		RPS: rps, WriteRPS: writeRPS,
-		BurstRPS: cfg.Settings.State.RPS * burstShare, BurstWrites: cfg.Settings.State.WriteRPS * burstShare,
-		TxnOps: cfg.Settings.State.TxnOps, ValueBytes: int(cfg.Settings.State.ValueKB * 1024), Timeout: tune.RequestTimeout,
+		BurstRPS: kept.RPS * burstShare, BurstWrites: kept.WriteRPS * burstShare,
+		TxnOps: kept.TxnOps, ValueBytes: int(kept.ValueKB * 1024), Timeout: tune.RequestTimeout,
 	}, c.later)
 	for i, p := range cfg.Known {
 		c.peers[p.Member] = &peer{member: p.Member, index: i + 1}
@@ -218,7 +219,7 @@
 // stateShare is this member's part of the state service's rates if as many use it.
 func (c *Core) stateShare(members int) (rps, writeRPS float64) {
 	part := c.tune.WriteShare / float64(members)
-	return c.cfg.Settings.State.RPS * part, c.cfg.Settings.State.WriteRPS * part
+	return c.cfg.Settings.State.Kept().RPS * part, c.cfg.Settings.State.Kept().WriteRPS * part
 }
 
 // active counts the members that use the state service: those in reach, and
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -123,8 +123,9 @@
 
 type imageQueue struct {
 	image *image
-	fetch bool // some machine of the kind might fetch it for what waits
-	stops bool // urgent work is in it that may stop others on machines of the kind
+	fetch bool              // some machine of the kind might fetch it for what waits
+	stops bool              // urgent work is in it that may stop others on machines of the kind
+	top   protocol.Priority // the highest in it
 	teams []*teamQueue
 }
 
@@ -217,6 +218,7 @@
 		k.images = append(k.images, q)
 	}
 	q.fetch = q.fetch || j.rank.overdue
+	q.top = max(q.top, j.prio)
 	q.stops = q.stops || (stops && j.prio >= protocol.PriorityHigh)
 	for _, t := range q.teams {
 		if t.team == j.team {
--- a/internal/coordination/forecast.go
+++ b/internal/coordination/forecast.go
@@ -39,6 +39,11 @@
 
 // note takes in a new job.
 func (f *forecast) note(j *leaderJob, now time.Duration) {
+	f.l.standby.classes[j.spec.Class] = true
+	if j.spec.Service {
+		f.l.standby.note(j, now)
+		return
+	}
 	share, within := f.wish(j.spec.Class)
 	if share == 0 || len(f.arrivals) >= maxArrivals {
 		return
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -375,6 +375,9 @@
 	took            float64 // seconds, on average
 }
 
+// noEnd stands for the run time of a service's task, which does not end by itself.
+const noEnd = 24 * time.Hour
+
 const (
 	estimateDecay = 0.998 // each task that ends leaves that much of those before
 	minEstimates  = 5
@@ -382,6 +385,9 @@
 
 // runTime is the expected run time of a task, by what tasks of its class took.
 func (l *leader) runTime(s *meshpb.JobDemand) time.Duration {
+	if s.Service {
+		return noEnd
+	}
 	e := l.est[s.Class]
 	if e == nil || e.n < minEstimates || s.EstimateS <= 0 {
 		return seconds(s.EstimateS)
@@ -397,6 +403,9 @@
 // usualTime is how long a task of a class runs on average, or what is expected
 // of the given job while that is not known.
 func (l *leader) usualTime(s *meshpb.JobDemand) time.Duration {
+	if s.Service {
+		return noEnd
+	}
 	if e := l.est[s.Class]; e != nil && e.n >= minEstimates {
 		return seconds(e.took / e.n)
 	}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -32,6 +32,7 @@
 	short     shortage
 	rent      renting
 	forecast  forecast
+	standby   standby
 	est       map[string]*estimate
 	images    imageTable
 }
@@ -64,6 +65,7 @@
 	}
 	l.rent.init(l)
 	l.forecast.l = l
+	l.standby.init(l)
 	c.leader = l
 	c.fleet.nextAsk, c.fleet.nextList = min(c.fleet.nextAsk, now), now // prices and machines as they are now
 	c.log.Info().Uint64("token", token).Msg("leading")
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -70,6 +70,8 @@
 	dark         room       // what may run on it unseen, see shade
 	heldFor      *leaderJob // its room gathers for this job
 	kept         bool       // waiting tasks can use it, see match
+	standby      bool       // its room is kept for services
+	offering     *answer    // that offers are being made for
 	told         []uint64   // by member: the stream on which its last list was passed on
 	toldAt       time.Duration
 	cachedAnew   bool // its images have changed since they were passed on
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -316,7 +316,7 @@
 	d.Image, d.ImageGb, d.Types, d.AnyType = s.Image, s.ImageGB, s.Types, s.AnyType
 	d.Zone, d.Together, d.Apart, d.Spot = s.Zone, s.OneZone, s.Spread, s.Spot
 	d.EstimateS, d.SaveS, d.CheckpointS = s.EstimateS, s.SaveS, s.CheckpointS
-	d.SubmittedMs, d.Tasks = j.atMs, uint32(s.Tasks)
+	d.SubmittedMs, d.Tasks, d.Service = j.atMs, uint32(s.Tasks), s.Service
 	if s.HasDeadline {
 		d.DeadlineMs = j.atMs + int64(s.DeadlineS*1000)
 	}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -44,7 +44,7 @@
 	if j.unserved() == 0 || !free.fits(j.spec) || l.failsHere(j, m) || !l.withinLimit(j) {
 		return false
 	}
-	if m.heldFor != nil && m.heldFor != j {
+	if (m.heldFor != nil && m.heldFor != j) || (m.standby && !j.spec.Service) || l.crowded(j, m) {
 		return false
 	}
 	if !m.spot && m.empty() && j.prio < protocol.PriorityHigh && j.image.holds(j) {
@@ -72,6 +72,8 @@
 	if k == nil || k.jobs == 0 || free.cpus < k.least.cpus || free.memory < k.least.memory {
 		return
 	}
+	m.offering = a
+	defer func() { m.offering = nil }()
 	queues := l.candidates(m, k)
 	heads := make([]*leaderJob, len(queues))
 	for i, q := range queues {
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -12,6 +12,7 @@
 const (
 	weighEvery = 300 * time.Millisecond
 	almostDone = 3 * time.Second // a task this close to its end is not stopped for another
+	moveBefore = 4 * time.Second // the end of a machine, a service's task is stopped there whatever comes
 	saveSpare  = 1.0             // seconds that a task may take longer to save than is said
 )
 
@@ -42,7 +43,7 @@
 	if k := l.demand.kinds[m.variant]; s.urgent > 0 && k != nil {
 		for _, q := range k.images {
 			if q.stops && q.image.urgent > 0 && (q.fetch || m.has(q.image)) {
-				got := l.makeRoom(m, a, math.Min(q.image.urgent, s.urgent), s.dear, now, isLower)
+				got := l.makeRoom(m, a, math.Min(q.image.urgent, s.urgent), s.dear, now, q.isLower)
 				q.image.urgent -= got
 				s.urgent -= got
 			}
@@ -68,7 +69,8 @@
 	}
 }
 
-func isLower(t *placed) bool { return t.job.prio < protocol.PriorityHigh }
+// isLower tells whether a task may be stopped for what waits in a queue.
+func (q *imageQueue) isLower(t *placed) bool { return t.job.prio < q.top }
 
 // givesWayTo tells whether a task only runs in idle time, and so that its job
 // would not be served before the one that it makes room for.
@@ -80,6 +82,9 @@
 // a team gives back what it has borrowed, and no more.
 func (l *leader) isBorrowed(t *placed) bool {
 	team := t.job.team
+	if t.job.spec.Service && t.job.prio == protocol.PriorityProduction {
+		return false // a service is the last to be stopped for a guarantee
+	}
 	return team != nil && team.cpus-team.stopping-t.job.spec.Cpus >= team.cfg.CPUs
 }
 
@@ -272,10 +277,12 @@
 				frees += t.job.spec.Cpus
 			}
 		}
-		could := false
+		var could *imageQueue
 		serve := func(im *image) {
-			if q := k.byImage[im]; im.urgent > 0 && q != nil {
-				could = could || q.stops
+			if q := k.byImage[im]; im.urgent > 0 && q != nil && !(m.standby && q.top < protocol.PriorityProduction) {
+				if q.stops && (could == nil || q.top > could.top) {
+					could = q
+				}
 				n := math.Min(frees, im.urgent)
 				im.urgent -= n
 				s.urgent -= n
@@ -290,8 +297,8 @@
 				serve(q.image)
 			}
 		}
-		if could {
-			victims = l.addVictims(victims, m, now, isLower)
+		if could != nil {
+			victims = l.addVictims(victims, m, now, could.isLower)
 		}
 	}
 	s.dear = limitOf(victims, s.urgent)
@@ -415,6 +422,9 @@
 		if m.noticeAt > 0 && now+max(left, 0) < m.noticeAt-time.Second {
 			continue
 		}
+		if t.job.spec.Service && (t.job.waiting > 0 || l.standby.choices == 0) && (m.noticeAt == 0 || now < m.noticeAt-moveBefore) {
+			continue // it moves once there is room, and one replica after another
+		}
 		t.stopped = true
 		l.stopTask(m, a, t)
 	}
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -83,6 +83,7 @@
 	r.l.demand.stale = true
 	r.l.arrange(now)
 	r.count(now)
+	r.l.standby.weigh(now)
 	have := r.supplies(now)
 	lacking := r.match(have, now)
 	r.release(now)
@@ -124,6 +125,7 @@
 			left--
 		}
 	}
+	r.l.standby.ask(ask, left, now)
 	r.keepWarm(ask, left, now)
 	for v, n := range ask {
 		for n > 0 {
@@ -309,7 +311,7 @@
 	if !m.spot {
 		idle /= 2 // it costs several times as much
 	}
-	if m.kept || now-m.idleSince <= idle || now-m.rentedAt <= minCharge || (m.spot && r.ofType[m.typ] <= r.warm[m.typ]) {
+	if m.kept || m.standby || now-m.idleSince <= idle || now-m.rentedAt <= minCharge || (m.spot && r.ofType[m.typ] <= r.warm[m.typ]) {
 		return false
 	}
 	r.ofType[m.typ]--
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -431,15 +431,21 @@
 	if p.job == nil {
 		return
 	}
-	switch p.why {
-	case protocol.WhyDone:
+	switch {
+	case p.why == protocol.WhyDone && p.job.spec != nil && p.job.spec.Service:
+		// The machine keeps the result: started there again it would end at once.
+		if p.job.errorsOn == nil {
+			p.job.errorsOn = make(map[string]bool)
+		}
+		p.job.errorsOn[m.name] = true
+	case p.why == protocol.WhyDone:
 		m.errors = nil
 		p.job.succeeded = true
 		p.job.errorsOn = nil
 		if old.state == protocol.TaskRunning && p.job.spec != nil {
 			l.learn(p.job.spec, now-old.since)
 		}
-	case protocol.WhyError:
+	case p.why == protocol.WhyError:
 		if m.errors == nil {
 			m.errors = make(map[string]int)
 		}
--- a/internal/coordination/roster.go
+++ b/internal/coordination/roster.go
@@ -37,7 +37,7 @@
 	}
 	n, size := 0, 0
 	for _, m := range l.unnamed[:min(len(l.unnamed), namesPerRecord)] {
-		if size += len(m.name) + nameRoom; n > 0 && size > int(l.c.cfg.Settings.State.ValueKB*1024) {
+		if size += len(m.name) + nameRoom; n > 0 && size > l.recordRoom() {
 			break
 		}
 		n++
@@ -65,6 +65,9 @@
 	})
 }
 
+// recordRoom is what one record may take.
+func (l *leader) recordRoom() int { return int(l.c.cfg.Settings.State.Kept().ValueKB * 1024) }
+
 // readRoster learns the machines that earlier leaders may have given tasks.
 func (l *leader) readRoster() {
 	l.c.store.RecordedMachines(func(records map[string][]string, ok bool) {
@@ -97,6 +100,7 @@
 // them.
 func (l *leader) forgetMachines(now time.Duration) {
 	left := make(map[string]int)
+	size := make(map[string]int)
 	gone := make(map[string]int)
 	for m := range l.machines.all {
 		switch {
@@ -106,6 +110,7 @@
 			gone[m.record]++
 		case m.record != "":
 			left[m.record]++
+			size[m.record] += len(m.name) + nameRoom
 		}
 	}
 	if l.rewriting || !l.c.session.mayAct(now) {
@@ -115,6 +120,9 @@
 	// machines in vain.
 	worst := ""
 	for key, n := range gone {
+		if size[key] > l.recordRoom() {
+			continue // written under larger limits, it stays until fewer are left
+		}
 		a, b := left[key] == 0, left[worst] == 0
 		if worst == "" || (a && !b) || (a == b && (n > gone[worst] || (n == gone[worst] && key < worst))) {
 			worst = key
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -44,6 +44,7 @@
 	watching bool
 	leaderK  heldKey
 	ledgers  map[string]*heldKey
+	versions versions
 
 	self        uint64 // stamp of the key that names this process; 0: not certainly written
 	registering bool
@@ -59,6 +60,7 @@
 func (s *session) init(c *Core) {
 	s.c = c
 	s.ledgers = make(map[string]*heldKey)
+	s.versions.init(c)
 	s.claiming = make(map[string]bool)
 	now := c.now()
 	s.ledgers[c.cfg.Member] = &heldKey{since: now}
@@ -121,6 +123,7 @@
 	} else if now >= s.nextTouch && s.touching < 3 {
 		s.touch(now)
 	}
+	s.versions.tick(now)
 	s.follow(now)
 	s.register(now)
 	s.askPromises(now)
@@ -295,6 +298,10 @@
 }
 
 func (s *session) see(key string, value []byte, stamp uint64, present bool) {
+	if member, ok := bookkeeping.MemberOfKey(key); ok {
+		s.versions.see(member, value, present)
+		return
+	}
 	k := &s.leaderK
 	if key != bookkeeping.LeaderKey {
 		name, ok := bookkeeping.LedgerOfKey(key)
--- a/internal/coordination/sizing.go
+++ b/internal/coordination/sizing.go
@@ -183,6 +183,9 @@
 			if n == 0 {
 				break
 			}
+			if s.m != nil && s.m.standby && !j.spec.Service {
+				continue
+			}
 			for n > 0 && s.room.fits(j.spec) && !(s.cutOff && j.prio >= protocol.PriorityHigh) {
 				s.room.take(j.spec)
 				n--
--- /dev/null
+++ b/internal/coordination/standby.go
@@ -0,0 +1,223 @@
+package coordination
+
+import (
+	"math"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+)
+
+const (
+	serviceSeen  = 10 * time.Minute // for how long a kind of service counts
+	serviceKinds = 64
+	unseenAfter  = 30 * time.Second
+	spreadOver   = 4 // machines over which standby room is spread, so that some report comes soon
+)
+
+// standby is the room kept for replicas of services: those that come, and those
+// that are lost and have to be back at once, although a machine takes longer to
+// boot than the users want to wait. Unlike arrays, services may often not use spot
+// machines, and their replicas stay.
+type standby struct {
+	l       *leader
+	kinds   map[serviceKind]*serviceLoad
+	classes map[string]bool // that jobs were seen of
+	want    map[variant]int // machines with that much room free, by kind
+	has     map[variant]int // of these, how many there are or are to come
+	choices int             // machines that are there
+}
+
+// serviceKind is services that need the same of a machine.
+type serviceKind struct {
+	class, zone  string
+	spot         bool
+	cpus, memory float64
+}
+
+// serviceLoad is what came of a kind lately.
+type serviceLoad struct {
+	spec *meshpb.JobDemand
+	at   []serviceArrival
+}
+
+type serviceArrival struct {
+	at    time.Duration
+	tasks int
+}
+
+func (s *standby) init(l *leader) {
+	s.l = l
+	s.kinds = make(map[serviceKind]*serviceLoad)
+	s.classes = make(map[string]bool)
+}
+
+// note takes in a new service.
+func (s *standby) note(j *leaderJob, now time.Duration) {
+	d := j.spec
+	k := serviceKind{d.Class, d.Zone, d.Spot, d.Cpus, d.MemoryGb}
+	load := s.kinds[k]
+	if load == nil {
+		if len(s.kinds) >= serviceKinds {
+			return
+		}
+		load = &serviceLoad{}
+		s.kinds[k] = load
+	}
+	load.spec = d
+	age := time.Duration(s.l.c.env.Wall().UnixMilli()-d.SubmittedMs) * time.Millisecond
+	if len(load.at) < maxArrivals {
+		load.at = append(load.at, serviceArrival{now - max(0, age), int(d.Tasks)})
+	}
+}
+
+// weigh works out how many machines of each kind should have room free for the
+// largest service of late, and for as many replicas as come, of late, while a
+// machine boots; and marks as many. What is marked takes nothing but services.
+func (s *standby) weigh(now time.Duration) {
+	s.want, s.has, s.choices = make(map[variant]int), make(map[variant]int), 0
+	for key, load := range s.kinds {
+		kept := load.at[:0]
+		for _, a := range load.at {
+			if now-a.at <= serviceSeen {
+				kept = append(kept, a)
+			}
+		}
+		if load.at = kept; len(kept) == 0 {
+			delete(s.kinds, key)
+			continue
+		}
+		s.weighKind(load, now)
+	}
+	if s.unseen(now) {
+		s.weighUnseen(now)
+	}
+	for v, n := range s.l.rent.booting {
+		s.has[v] = min(n, s.want[v])
+	}
+	// Those marked before stay so, and those come next that have something to
+	// gain from it: they are there, and hold services already.
+	for _, first := range []bool{true, false} {
+		for m := range s.l.machines.all {
+			was := m.standby
+			if first {
+				m.standby = was && s.counts(m, now)
+			} else if !was && s.counts(m, now) {
+				m.standby = true
+			}
+		}
+	}
+}
+
+// counts takes a machine in if it has room for services and more are wanted.
+func (s *standby) counts(m *machine, now time.Duration) bool {
+	if s.has[m.variant] >= s.want[m.variant] || !s.l.usable(m, now) || !s.roomy(m) {
+		return false
+	}
+	s.has[m.variant]++
+	s.choices++
+	return true
+}
+
+// unseen tells whether the users want starts of some class soon of which this
+// leader has not seen a job: services may begin on a running day.
+func (s *standby) unseen(now time.Duration) bool {
+	for _, o := range s.l.c.cfg.Settings.Objectives {
+		if (o.Kind == "wait" || o.Kind == "up") && !s.classes[o.Class] && now-s.l.since > unseenAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// weighUnseen keeps an ordinary machine of the cheapest kind in each zone.
+func (s *standby) weighUnseen(now time.Duration) {
+	var best *protocol.MachineType
+	for _, t := range s.l.c.fleet.types {
+		if best == nil || t.Price < best.Price {
+			best = t
+		}
+	}
+	if best == nil {
+		return
+	}
+	for _, z := range best.Zones {
+		v := variant{best.Name, z, false}
+		s.want[v] = max(s.want[v], 1)
+	}
+}
+
+func (s *standby) weighKind(load *serviceLoad, now time.Duration) {
+	v, ok := s.l.rent.best(&leaderJob{spec: load.spec}, now, nil)
+	if !ok {
+		return
+	}
+	t := s.l.c.fleet.types[v.typ]
+	largest, tasks := 0, 0
+	for _, a := range load.at {
+		largest = max(largest, a.tasks)
+		if now-a.at <= seenFor {
+			tasks += a.tasks
+		}
+	}
+	span := math.Min(seenFor.Seconds(), (now - s.l.since + settleIn).Seconds())
+	soon := float64(tasks) / span * t.BootS
+	machines := int(math.Ceil((float64(largest) + soon) / math.Max(1, fitting(t, &leaderJob{spec: load.spec}))))
+	machines = max(machines, min(spreadOver, largest))
+	if load.spec.Apart && load.spec.Zone == "" {
+		for _, z := range t.Zones {
+			u := variant{v.typ, z, v.spot}
+			s.want[u] = max(s.want[u], (machines+1)/2)
+		}
+		return
+	}
+	s.want[v] = max(s.want[v], machines)
+}
+
+// roomy tells whether a machine has room for a replica of a kind that room is
+// kept for.
+func (s *standby) roomy(m *machine) bool {
+	for _, load := range s.kinds {
+		if allows(load.spec, m.variant) && m.free.fits(load.spec) {
+			return true
+		}
+	}
+	return len(s.kinds) == 0 && m.empty()
+}
+
+// ask asks for the machines that are wanted and neither there nor to come.
+func (s *standby) ask(ask map[variant]int, left int, now time.Duration) {
+	for v, n := range s.want {
+		for k := s.has[v]; k < n && left > 0 && s.l.rent.refused[v] <= now; k++ {
+			ask[v]++
+			s.l.rent.ofType[v.typ]++
+			left--
+		}
+	}
+}
+
+// crowded tells whether a machine has its part of a service's tasks, while there
+// are others to choose from: the loss of one machine should not take most of them.
+func (l *leader) crowded(j *leaderJob, m *machine) bool {
+	if !j.spec.Service || l.standby.choices < 2 {
+		return false
+	}
+	n := 0
+	for _, list := range [][]placed{m.tasks, m.sent} {
+		for i := range list {
+			if list[i].job == j && list[i].state != protocol.TaskExited {
+				n++
+			}
+		}
+	}
+	if m.offering != nil {
+		for _, o := range m.offering.open {
+			for _, it := range o.items {
+				if it.job == j {
+					n += it.n
+				}
+			}
+		}
+	}
+	return n >= max(1, int(j.spec.Tasks)/2)
+}
--- a/internal/coordination/tasks.go
+++ b/internal/coordination/tasks.go
@@ -30,7 +30,7 @@
 	attempt uint64 // replica number of the copy that counts
 	session uint64 // of the report whose answer carried the start
 	seq     uint64
-	readyAt time.Duration // cooling
+	readyAt time.Duration // cooling: when it waits again; running: since when it is seen to
 }
 
 type taskRef struct {
@@ -111,6 +111,7 @@
 	if t.running != running {
 		t.running = running
 		if running {
+			t.readyAt = o.c.now()
 			j.nRun++
 		} else {
 			j.nRun--
@@ -265,7 +266,13 @@
 		o.setRunning(j, i, protocol.TaskState(s.State) != protocol.TaskFetching)
 		return
 	}
-	switch protocol.Why(s.Why) {
+	why := protocol.Why(s.Why)
+	if j.spec.Service && (why == protocol.WhyDone || why == protocol.WhyError) {
+		o.replicaEnded(j, i, m)
+		clear()
+		return
+	}
+	switch why {
 	case protocol.WhyDone:
 		o.lift(j, i)
 		j.fails = 0
@@ -292,6 +299,25 @@
 	}
 }
 
+// replicaEnded has a service's task run again, though it ended by itself. One that
+// ran for a while before is back at once; one that ends again and again waits as a
+// task that fails does, and its job is doubted.
+func (o *owner) replicaEnded(j *ownedJob, i, m int32) {
+	t, now := &j.tasks[i], o.c.now()
+	ran := t.running && now-t.readyAt > steadyAfter
+	o.lift(j, i)
+	if ran {
+		j.fails = 0
+		o.trusted(j)
+		o.requeue(j, i)
+		return
+	}
+	o.failed(j, m, now)
+	t.place = cooling
+	t.readyAt = now + failPause(min(j.fails, mostPaused))
+	j.cool = append(j.cool, i)
+}
+
 // failPause grows with the failures in a row.
 func failPause(fails int) time.Duration {
 	return time.Duration(math.Min(60, 0.5*math.Pow(1.5, float64(min(fails, 20)))) * float64(time.Second))
@@ -301,6 +327,10 @@
 // grow: they may be due to a few machines, while its other tasks run.
 const mostPaused = 8
 
+// steadyAfter is for how long a service's task has to run until its end says
+// nothing against its job.
+const steadyAfter = 20 * time.Second
+
 const (
 	trustAfter = 5 * time.Second // that a task of a doubted job runs, at first
 )
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -261,7 +261,16 @@
 	if (t.CPUsMax > 0 && job.CPUs > t.CPUsMax) || (t.GPUsMax > 0 && job.GPUs > t.GPUsMax) {
 		return c.refusal(422, "a page needs more than the crew's limit", 0), false
 	}
+	if n := float64(job.Tasks); job.Service && ((t.CPUsMax > 0 && n*job.CPUs > t.CPUsMax) || (t.GPUsMax > 0 && n*job.GPUs > t.GPUsMax)) {
+		return c.refusal(422, "all pages of a service together need more than the crew's limit", 0), false
+	}
 	job.Types = known
+	if !c.store.Fits(job) {
+		return c.refusal(422, "its description does not fit the state service's limit of a value", 0), false
+	}
+	if job.Service && !c.session.versions.readServices(c.now()) {
+		return c.refusal(503, "some controller can't run services yet", 1), false
+	}
 	return Response{}, true
 }
 
--- a/internal/protocol/check.go
+++ b/internal/protocol/check.go
@@ -13,6 +13,12 @@
 
 const maxName = 120
 
+// Wire words of the forms of a job.
+const (
+	kindBatch   = "batch"
+	kindService = "service"
+)
+
 // Job is a submission that passed the checks, in the field's terms. It is
 // also the form in which the state service keeps it.
 type Job struct {
@@ -37,6 +43,7 @@
 	SaveS       float64  `cbor:"save"`
 	DeadlineS   float64  `cbor:"due"`
 	HasDeadline bool     `cbor:"hasDue"`
+	Service     bool     `cbor:"svc,omitempty"` // its tasks run until it is cancelled
 }
 
 // ValidJobID tells whether id has the form that users always give it.
@@ -94,7 +101,7 @@
 	if s.ID == nil || !ValidJobID(*s.ID) {
 		return nil, errors.New("nameId is missing or not of the form wk-000412")
 	}
-	if s.Kind == nil || *s.Kind != "batch" {
+	if s.Kind == nil || (*s.Kind != kindBatch && *s.Kind != kindService) {
 		return nil, errors.New("form is missing or unknown")
 	}
 	if s.Priority == nil {
@@ -138,12 +145,12 @@
 		ID: *s.ID, Class: *s.Class, Team: *s.Team, Priority: prio, Tasks: int(*s.Tasks),
 		CPUs: *s.CPUs, GPUs: *s.GPUs, MemoryGB: *s.MemoryGB, Image: *s.Image, ImageGB: *s.ImageGB,
 		Types: s.Types, AnyType: s.Types == nil, OneZone: *s.OneZone, Spread: *s.Spread, Spot: *s.Spot,
-		EstimateS: *s.EstimateS, CheckpointS: *s.CheckpointS, SaveS: *s.SaveS,
+		EstimateS: *s.EstimateS, CheckpointS: *s.CheckpointS, SaveS: *s.SaveS, Service: *s.Kind == kindService,
 	}
 	if s.Zone != nil {
 		j.Zone = *s.Zone
 	}
-	if s.DeadlineS != nil {
+	if s.DeadlineS != nil && !j.Service {
 		j.DeadlineS, j.HasDeadline = *s.DeadlineS, true
 	}
 	return j, nil
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,10 +50,39 @@
 
 // State holds the state service's limits.
 type State struct {
-	RPS      float64 `toml:"rps"`
-	WriteRPS float64 `toml:"write_rps"`
-	ValueKB  float64 `toml:"value_kb"`
-	TxnOps   int     `toml:"txn_ops"`
+	RPS      float64   `toml:"rps"`
+	WriteRPS float64   `toml:"write_rps"`
+	ValueKB  float64   `toml:"value_kb"`
+	TxnOps   int       `toml:"txn_ops"`
+	Next     NextState `toml:"next"`
+}
+
+// NextState holds the limits that the state service will have from some moment
+// on, without notice. What is absent does not change.
+type NextState struct {
+	RPS      *float64 `toml:"rps"`
+	WriteRPS *float64 `toml:"write_rps"`
+	ValueKB  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
+// Kept is the limits that hold before and after that moment: the smaller of both.
+func (s State) Kept() State {
+	n := s.Next
+	s.Next = NextState{}
+	if n.RPS != nil {
+		s.RPS = min(s.RPS, *n.RPS)
+	}
+	if n.WriteRPS != nil {
+		s.WriteRPS = min(s.WriteRPS, *n.WriteRPS)
+	}
+	if n.ValueKB != nil {
+		s.ValueKB = min(s.ValueKB, *n.ValueKB)
+	}
+	if n.TxnOps != nil {
+		s.TxnOps = min(s.TxnOps, *n.TxnOps)
+	}
+	return s
 }
 
 // Cloud holds the cloud's limits.
@@ -143,6 +172,16 @@
 			return err
 		}
 	}
+	next := func(v *float64, now float64) float64 {
+		if v == nil {
+			return now
+		}
+		return *v
+	}
+	nextOps := float64(s.State.TxnOps)
+	if s.State.Next.TxnOps != nil {
+		nextOps = float64(*s.State.Next.TxnOps)
+	}
 	for _, n := range []struct {
 		name     string
 		value    float64
@@ -155,6 +194,10 @@
 		{"settings.state.write_rps", s.State.WriteRPS, 1, 1e9},
 		{"settings.state.value_kb", s.State.ValueKB, 1, 1e6},
 		{"settings.state.txn_ops", float64(s.State.TxnOps), 2, 1e6},
+		{"settings.state.next.rps", next(s.State.Next.RPS, s.State.RPS), 1, 1e9},
+		{"settings.state.next.write_rps", next(s.State.Next.WriteRPS, s.State.WriteRPS), 1, 1e9},
+		{"settings.state.next.value_kb", next(s.State.Next.ValueKB, s.State.ValueKB), 1, 1e6},
+		{"settings.state.next.txn_ops", nextOps, 2, 1e6},
 		{"settings.cloud.rps", s.Cloud.RPS, 0.1, 1e9},
 		{"settings.cloud.list_lag_s", s.Cloud.ListLagS, 0, 3600},
 		{"settings.clock_off_ms", s.ClockOffMs, 0, 1e7},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -64,6 +64,11 @@
 		{`report_s = 2.5`, `report_s = nan`, "settings.workers.report_s"},
 		{`write_rps = 40.0`, ``, "settings.state.write_rps"},
 		{`txn_ops = 32`, `txn_ops = 0`, "settings.state.txn_ops"},
+		{`txn_ops = 32`, "txn_ops = 32\nnext = { txn_ops = 1 }", "settings.state.next.txn_ops"},
+		{`txn_ops = 32`, "txn_ops = 32\nnext = { value_kb = -2.0 }", "settings.state.next.value_kb"},
+		{`txn_ops = 32`, "txn_ops = 32\nnext = { write_rps = nan }", "settings.state.next.write_rps"},
+		{`txn_ops = 32`, "txn_ops = 32\nnext = { rps = 0.0 }", "settings.state.next.rps"},
+		{`txn_ops = 32`, "txn_ops = 32\nnext = 3", "settings.state.next"},
 		{`sockets = 1800`, `sockets = 1`, "settings.limits.sockets"},
 		{`name = "t"`, ``, "settings.teams[0].name"},
 		{`cpus = 0.0`, `cpus = -2.0`, "settings.teams[0]"},
@@ -93,3 +98,23 @@
 		}
 	}
 }
+
+// From the first write the smaller of both limits holds; what next lacks, or
+// raises, changes nothing.
+func TestNextLimits(t *testing.T) {
+	for next, want := range map[string]State{
+		"":                                    {RPS: 200, WriteRPS: 40, ValueKB: 8, TxnOps: 32},
+		"next = {}":                           {RPS: 200, WriteRPS: 40, ValueKB: 8, TxnOps: 32},
+		"next = { value_kb = 2.0 }":           {RPS: 200, WriteRPS: 40, ValueKB: 2, TxnOps: 32},
+		"next = { txn_ops = 5, rps = 900.0 }": {RPS: 200, WriteRPS: 40, ValueKB: 8, TxnOps: 5},
+		"next = { rps = 90.0, write_rps = 28.0, value_kb = 16.0, txn_ops = 64 }": {RPS: 90, WriteRPS: 28, ValueKB: 8, TxnOps: 32},
+	} {
+		f, err := Parse([]byte(strings.Replace(good, "txn_ops = 32", "txn_ops = 32\n"+next, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := f.Settings.State.Kept(); got != want {
+			t.Errorf("%q: got %+v, want %+v", next, got, want)
+		}
+	}
+}
