--- a/internal/bookkeeping/ledger_test.go
+++ b/internal/bookkeeping/ledger_test.go
@@ -26,6 +26,8 @@
 	stamps map[string]uint64 // heeded as conditions once a test has made it
 	// unsure may leave a transaction without an answer: carried out, not, or later.
 	unsure func(apply func()) bool
+	// checkPut looks at every value that is written.
+	checkPut func(key string, value []byte)
 }
 
 func (s *scripted) Now() time.Duration { return s.now }
@@ -102,6 +104,9 @@
 		if len(c.Value) > 8192 {
 			s.t.Fatalf("%s gets %d bytes", c.Put, len(c.Value))
 		}
+		if s.checkPut != nil {
+			s.checkPut(c.Put, c.Value)
+		}
 		s.keys[c.Put] = append([]byte(nil), c.Value...)
 		if s.stamps != nil {
 			s.stamps[c.Put] = s.rev
--- a/internal/coordination/standby.go
+++ b/internal/coordination/standby.go
@@ -148,7 +148,8 @@
 }
 
 func (s *standby) weighKind(load *serviceLoad, now time.Duration) {
-	v, ok := s.l.rent.best(&leaderJob{spec: load.spec}, now, nil)
+	j := &leaderJob{spec: load.spec, only: s.l.rent.onlyType(load.spec)}
+	v, ok := s.l.rent.best(j, now, nil)
 	if !ok {
 		return
 	}
@@ -162,7 +163,7 @@
 	}
 	span := math.Min(seenFor.Seconds(), (now - s.l.since + settleIn).Seconds())
 	soon := float64(tasks) / span * t.BootS
-	machines := int(math.Ceil((float64(largest) + soon) / math.Max(1, fitting(t, &leaderJob{spec: load.spec}))))
+	machines := int(math.Ceil((float64(largest) + soon) / math.Max(1, fitting(t, j))))
 	machines = max(machines, min(spreadOver, largest))
 	if load.spec.Apart && load.spec.Zone == "" {
 		for _, z := range t.Zones {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -30,6 +30,7 @@
 	state   *fakeState
 	cloud   *fakeCloud
 	workers map[string]*worker
+	before  map[string]bool // members that run the version before
 	runs    uint64
 	conns   uint64
 	leases  bool                           // workers' leases end by themselves
@@ -95,7 +96,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{t: t, codec: codec, now: time.Hour, nodes: make(map[string]*node), names: names, workers: make(map[string]*worker)}
+	w := &world{t: t, codec: codec, now: time.Hour, nodes: make(map[string]*node), names: names, workers: make(map[string]*worker), before: make(map[string]bool)}
 	w.state = newFakeState(w)
 	w.cloud = &fakeCloud{w: w, answers: make(map[string][]string)}
 	for _, n := range names {
@@ -131,6 +132,9 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	if w.before[name] {
+		core.me.Records = 0 // its own key says what that version's does
+	}
 	n.core, n.up = core, true
 	for _, o := range w.names {
 		if o != name && w.nodes[o].up {
