--- a/internal/coordination/standby.go
+++ b/internal/coordination/standby.go
@@ -11,8 +11,10 @@
 const (
 	serviceSeen  = 10 * time.Minute // for how long a kind of service counts
 	serviceKinds = 64
-	unseenAfter  = 30 * time.Second
-	spreadOver   = 4 // machines over which standby room is spread, so that some report comes soon
+	unseenAfter  = 10 * time.Second // under a new leader
+	slowBoot     = 1.5 // times the usual boot, that one may take
+	standbyPart  = 20  // of all machines, that are kept for prompt starts at the most
+	spreadOver   = 4   // machines over which standby room is spread, so that some report comes soon
 )
 
 // standby is the room kept for replicas of services: those that come, and those
@@ -130,7 +132,7 @@
 	return false
 }
 
-// weighUnseen keeps an ordinary machine of the cheapest kind in each zone.
+// weighUnseen keeps a few ordinary machines of the cheapest kind, in all zones.
 func (s *standby) weighUnseen(now time.Duration) {
 	var best *protocol.MachineType
 	for _, t := range s.l.c.fleet.types {
@@ -143,7 +145,7 @@
 	}
 	for _, z := range best.Zones {
 		v := variant{best.Name, z, false}
-		s.want[v] = max(s.want[v], 1)
+		s.want[v] = max(s.want[v], (spreadOver+len(best.Zones)-1)/len(best.Zones))
 	}
 }
 
@@ -154,17 +156,22 @@
 		return
 	}
 	t := s.l.c.fleet.types[v.typ]
-	largest, tasks := 0, 0
+	largest, tasks, squares := 0.0, 0.0, 0.0
 	for _, a := range load.at {
-		largest = max(largest, a.tasks)
+		n := float64(a.tasks)
+		largest = math.Max(largest, n)
 		if now-a.at <= seenFor {
-			tasks += a.tasks
+			tasks += n
+			squares += n * n
 		}
 	}
+	// What comes while a machine boots has to find room on those that are there;
+	// how far it swings above its mean see forecast.
 	span := math.Min(seenFor.Seconds(), (now - s.l.since + settleIn).Seconds())
-	soon := float64(tasks) / span * t.BootS
-	machines := int(math.Ceil((float64(largest) + soon) / math.Max(1, fitting(t, j))))
-	machines = max(machines, min(spreadOver, largest))
+	lead := t.BootS * slowBoot / span
+	replicas := largest + tasks*lead + surely*math.Sqrt(squares*lead)
+	machines := int(math.Ceil(replicas / math.Max(1, fitting(t, j))))
+	machines = max(machines, min(s.prompt(load.spec.Class, largest), s.l.rent.there/standbyPart), min(spreadOver, int(largest)))
 	if load.spec.Apart && load.spec.Zone == "" {
 		for _, z := range t.Zones {
 			u := variant{v.typ, z, v.spot}
@@ -175,6 +182,17 @@
 	s.want[v] = max(s.want[v], machines)
 }
 
+// prompt is how many machines have to have room for the last of a service's tasks
+// to find one that reports within half of the time in which the users want it
+// started, if each gets one: reports come apart by their interval.
+func (s *standby) prompt(class string, tasks float64) int {
+	_, within := s.l.forecast.wish(class)
+	if within <= 0 {
+		return 0
+	}
+	return int(math.Ceil(2 * tasks * s.l.c.cfg.Settings.Workers.ReportS / within))
+}
+
 // roomy tells whether a machine has room for a replica of a kind that room is
 // kept for.
 func (s *standby) roomy(m *machine) bool {
