--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -44,7 +44,7 @@
 	if j.unserved() == 0 || !free.fits(j.spec) || l.failsHere(j, m) || !l.withinLimit(j) {
 		return false
 	}
-	if (m.heldFor != nil && m.heldFor != j) || (m.standby && !j.spec.Service) || l.crowded(j, m) {
+	if (m.heldFor != nil && m.heldFor != j) || (m.standby && !j.spec.Service) || l.crowded(j, m) || l.standby.hasImage(j, m, l.c.now()) {
 		return false
 	}
 	if !m.spot && m.empty() && j.prio < protocol.PriorityHigh && j.image.holds(j) {
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -422,7 +422,7 @@
 		if m.noticeAt > 0 && now+max(left, 0) < m.noticeAt-time.Second {
 			continue
 		}
-		if t.job.spec.Service && (t.job.waiting > 0 || l.standby.choices == 0) && (m.noticeAt == 0 || now < m.noticeAt-moveBefore) {
+		if t.job.spec.Service && (t.job.waiting > 0 || len(l.standby.marked) == 0) && (m.noticeAt == 0 || now < m.noticeAt-moveBefore) {
 			continue // it moves once there is room, and one replica after another
 		}
 		t.stopped = true
--- a/internal/coordination/standby.go
+++ b/internal/coordination/standby.go
@@ -11,10 +11,11 @@
 const (
 	serviceSeen  = 10 * time.Minute // for how long a kind of service counts
 	serviceKinds = 64
+	maxReplicas  = 1000             // that are counted on one machine
 	unseenAfter  = 10 * time.Second // under a new leader
-	slowBoot     = 1.5 // times the usual boot, that one may take
-	standbyPart  = 20  // of all machines, that are kept for prompt starts at the most
-	spreadOver   = 4   // machines over which standby room is spread, so that some report comes soon
+	slowBoot     = 1.5              // times the usual boot, that one may take
+	standbyPart  = 20               // of all machines, that are kept for prompt starts at the most
+	spreadOver   = 4                // machines over which standby room is spread, so that some report comes soon
 )
 
 // standby is the room kept for replicas of services: those that come, and those
@@ -24,12 +25,15 @@
 type standby struct {
 	l       *leader
 	kinds   map[serviceKind]*serviceLoad
-	classes map[string]bool // that jobs were seen of
-	want    map[variant]int // machines with that much room free, by kind
-	has     map[variant]int // of these, how many there are or are to come
-	choices int             // machines that are there
+	classes map[string]bool   // that jobs were seen of
+	want    map[variant]spare // room that should be free, by kind
+	has     map[variant]spare // of this, what there is or is to come
+	marked  []*machine        // that it is kept free on
 }
 
+// spare is machines with room for replicas, and how many of these fit on them.
+type spare struct{ machines, replicas int }
+
 // serviceKind is services that need the same of a machine.
 type serviceKind struct {
 	class, zone  string
@@ -77,7 +81,7 @@
 // largest service of late, and for as many replicas as come, of late, while a
 // machine boots; and marks as many. What is marked takes nothing but services.
 func (s *standby) weigh(now time.Duration) {
-	s.want, s.has, s.choices = make(map[variant]int), make(map[variant]int), 0
+	s.want, s.has, s.marked = make(map[variant]spare), make(map[variant]spare), s.marked[:0]
 	for key, load := range s.kinds {
 		kept := load.at[:0]
 		for _, a := range load.at {
@@ -95,7 +99,9 @@
 		s.weighUnseen(now)
 	}
 	for v, n := range s.l.rent.booting {
-		s.has[v] = min(n, s.want[v])
+		if w := s.want[v]; w.machines > 0 {
+			s.has[v] = spare{min(n, w.machines), min(n*s.whole(v), w.replicas)}
+		}
 	}
 	// Those marked before stay so, and those come next that have something to
 	// gain from it: they are there, and hold services already.
@@ -111,16 +117,32 @@
 	}
 }
 
-// counts takes a machine in if it has room for services and more are wanted.
+// counts takes a machine in if it has room for services and more is wanted.
 func (s *standby) counts(m *machine, now time.Duration) bool {
-	if s.has[m.variant] >= s.want[m.variant] || !s.l.usable(m, now) || !s.roomy(m) {
+	w, h := s.want[m.variant], s.has[m.variant]
+	if (h.machines >= w.machines && h.replicas >= w.replicas) || !s.l.usable(m, now) {
+		return false
+	}
+	n := s.roomFor(m)
+	if n == 0 {
 		return false
 	}
-	s.has[m.variant]++
-	s.choices++
+	s.has[m.variant] = spare{h.machines + 1, h.replicas + n}
+	s.marked = append(s.marked, m)
 	return true
 }
 
+// whole is how many replicas of some kind fit on an empty machine.
+func (s *standby) whole(v variant) int {
+	t, most := s.l.c.fleet.types[v.typ], 1
+	for _, load := range s.kinds {
+		if t != nil && allows(load.spec, v) {
+			most = max(most, int(fitting(t, &leaderJob{spec: load.spec})))
+		}
+	}
+	return most
+}
+
 // unseen tells whether the users want starts of some class soon of which this
 // leader has not seen a job: services may begin on a running day.
 func (s *standby) unseen(now time.Duration) bool {
@@ -145,7 +167,7 @@
 	}
 	for _, z := range best.Zones {
 		v := variant{best.Name, z, false}
-		s.want[v] = max(s.want[v], (spreadOver+len(best.Zones)-1)/len(best.Zones))
+		s.add(v, spare{machines: (spreadOver + len(best.Zones) - 1) / len(best.Zones)})
 	}
 }
 
@@ -170,16 +192,20 @@
 	span := math.Min(seenFor.Seconds(), (now - s.l.since + settleIn).Seconds())
 	lead := t.BootS * slowBoot / span
 	replicas := largest + tasks*lead + surely*math.Sqrt(squares*lead)
-	machines := int(math.Ceil(replicas / math.Max(1, fitting(t, j))))
-	machines = max(machines, min(s.prompt(load.spec.Class, largest), s.l.rent.there/standbyPart), min(spreadOver, int(largest)))
+	n := spare{max(min(s.prompt(load.spec.Class, largest), s.l.rent.there/standbyPart), min(spreadOver, int(largest))), int(math.Ceil(replicas))}
 	if load.spec.Apart && load.spec.Zone == "" {
 		for _, z := range t.Zones {
-			u := variant{v.typ, z, v.spot}
-			s.want[u] = max(s.want[u], (machines+1)/2)
+			s.add(variant{v.typ, z, v.spot}, spare{(n.machines + 1) / 2, (n.replicas + 1) / 2})
 		}
 		return
 	}
-	s.want[v] = max(s.want[v], machines)
+	s.add(v, n)
+}
+
+// add wants at least that much room of a kind.
+func (s *standby) add(v variant, n spare) {
+	w := s.want[v]
+	s.want[v] = spare{max(w.machines, n.machines), max(w.replicas, n.replicas)}
 }
 
 // prompt is how many machines have to have room for the last of a service's tasks
@@ -193,21 +219,32 @@
 	return int(math.Ceil(2 * tasks * s.l.c.cfg.Settings.Workers.ReportS / within))
 }
 
-// roomy tells whether a machine has room for a replica of a kind that room is
-// kept for.
-func (s *standby) roomy(m *machine) bool {
+// roomFor is how many replicas of a kind that room is kept for a machine has room
+// for.
+func (s *standby) roomFor(m *machine) int {
+	most := 0
 	for _, load := range s.kinds {
-		if allows(load.spec, m.variant) && m.free.fits(load.spec) {
-			return true
+		if !allows(load.spec, m.variant) {
+			continue
+		}
+		n := 0
+		for free := m.free; free.fits(load.spec) && n < maxReplicas; n++ {
+			free.take(load.spec)
 		}
+		most = max(most, n)
+	}
+	if len(s.kinds) == 0 && m.empty() {
+		return 1
 	}
-	return len(s.kinds) == 0 && m.empty()
+	return most
 }
 
 // ask asks for the machines that are wanted and neither there nor to come.
 func (s *standby) ask(ask map[variant]int, left int, now time.Duration) {
-	for v, n := range s.want {
-		for k := s.has[v]; k < n && left > 0 && s.l.rent.refused[v] <= now; k++ {
+	for v, w := range s.want {
+		h, whole := s.has[v], s.whole(v)
+		n := max(w.machines-h.machines, (w.replicas-h.replicas+whole-1)/whole)
+		for ; n > 0 && left > 0 && s.l.rent.refused[v] <= now; n-- {
 			ask[v]++
 			s.l.rent.ofType[v.typ]++
 			left--
@@ -215,10 +252,26 @@
 	}
 }
 
+// hasImage tells whether another machine of the zone, with room kept for a
+// service's replica, has its image: to wait for that one's report takes less than
+// to fetch the image anew.
+func (s *standby) hasImage(j *leaderJob, m *machine, now time.Duration) bool {
+	if !j.spec.Service || m.has(j.image) || fetchTime(j.image, s.l.c.fleet.types[m.typ]) <= seconds(s.l.c.cfg.Settings.Workers.ReportS) {
+		return false
+	}
+	for _, o := range s.marked {
+		if o != m && o.zone == m.zone && o.has(j.image) && o.free.fits(j.spec) && allows(j.spec, o.variant) &&
+			s.l.usable(o, now) && !s.l.failsHere(j, o) && !s.l.crowded(j, o) {
+			return true
+		}
+	}
+	return false
+}
+
 // crowded tells whether a machine has its part of a service's tasks, while there
 // are others to choose from: the loss of one machine should not take most of them.
 func (l *leader) crowded(j *leaderJob, m *machine) bool {
-	if !j.spec.Service || l.standby.choices < 2 {
+	if !j.spec.Service || len(l.standby.marked) < 2 {
 		return false
 	}
 	n := 0
