Standby stays while the cloud refuses more; a service's replicas lie on up to three machines

Refused, the kind of standby machine was not found and all were given to arrays. Replicas were spread only where standby machines were marked.

--- a/internal/coordination/standby.go
+++ b/internal/coordination/standby.go
@@ -29,6 +29,7 @@
 	want    map[variant]spare // room that should be free, by kind
 	has     map[variant]spare // of this, what there is or is to come
 	marked  []*machine        // that it is kept free on
+	roomy   []*machine        // that have room for services, marked or not
 }
 
 // spare is machines with room for replicas, and how many of these fit on them.
@@ -105,9 +106,13 @@
 	}
 	// Those marked before stay so, and those come next that have something to
 	// gain from it: they are there, and hold services already.
+	s.roomy = s.roomy[:0]
 	for _, first := range []bool{true, false} {
 		for m := range s.l.machines.all {
 			was := m.standby
+			if first && len(s.kinds) > 0 && s.l.usable(m, now) && s.roomFor(m) > 0 {
+				s.roomy = append(s.roomy, m)
+			}
 			if first {
 				m.standby = was && s.counts(m, now)
 			} else if !was && s.counts(m, now) {
@@ -173,7 +178,9 @@
 
 func (s *standby) weighKind(load *serviceLoad, now time.Duration) {
 	j := &leaderJob{spec: load.spec, only: s.l.rent.onlyType(load.spec)}
-	v, ok := s.l.rent.best(j, now, nil)
+	// The kind counts whether or not the cloud refuses it at present: then what is
+	// there has to be kept all the more.
+	v, ok := s.l.rent.best(j, time.Duration(math.MaxInt64), nil)
 	if !ok {
 		return
 	}
@@ -268,10 +275,23 @@
 	return false
 }
 
-// crowded tells whether a machine has its part of a service's tasks, while there
-// are others to choose from: the loss of one machine should not take most of them.
+// crowded tells whether a machine has its part of a service's tasks, while others
+// of its zone have room too: the loss of one should not take most of them. Of three
+// or more machines each takes a third.
 func (l *leader) crowded(j *leaderJob, m *machine) bool {
-	if !j.spec.Service || len(l.standby.marked) < 2 {
+	if !j.spec.Service {
+		return false
+	}
+	now, choices := l.c.now(), 1
+	for _, o := range l.standby.roomy {
+		if choices == 3 {
+			break
+		}
+		if o != m && o.zone == m.zone && o.free.fits(j.spec) && allows(j.spec, o.variant) && l.usable(o, now) && !l.failsHere(j, o) {
+			choices++
+		}
+	}
+	if choices == 1 {
 		return false
 	}
 	n := 0
@@ -291,5 +311,5 @@
 			}
 		}
 	}
-	return n >= max(1, int(j.spec.Tasks)/2)
+	return n >= (int(j.spec.Tasks)+choices-1)/choices
 }
