Replicas move one at a time, once room is kept for them; standby in every zone

A machine to be taken away lost all replicas of a service at once, and room kept in another zone was passed over as the cheapest zone changed. Names of classes are kept only as far as the aims name them.

--- a/internal/coordination/forecast.go
+++ b/internal/coordination/forecast.go
@@ -39,7 +39,7 @@
 
 // note takes in a new job.
 func (f *forecast) note(j *leaderJob, now time.Duration) {
-	f.l.standby.classes[j.spec.Class] = true
+	delete(f.l.standby.unseen, j.spec.Class)
 	if j.spec.Service {
 		f.l.standby.note(j, now)
 		return
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -422,10 +422,21 @@
 		if m.noticeAt > 0 && now+max(left, 0) < m.noticeAt-time.Second {
 			continue
 		}
-		if t.job.spec.Service && (t.job.waiting > 0 || len(l.standby.marked) == 0) && (m.noticeAt == 0 || now < m.noticeAt-moveBefore) {
+		if t.job.spec.Service && (t.job.waiting > 0 || m.stops(t.job) || !l.standby.takes(t.job, m, now)) && (m.noticeAt == 0 || now < m.noticeAt-moveBefore) {
 			continue // it moves once there is room, and one replica after another
 		}
 		t.stopped = true
 		l.stopTask(m, a, t)
 	}
 }
+
+// stops tells whether a machine still lists a task of a job that was told to stop:
+// one that has ended is listed until its owner knows, and has it start elsewhere.
+func (m *machine) stops(j *leaderJob) bool {
+	for i := range m.tasks {
+		if t := &m.tasks[i]; t.job == j && t.stopped {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/coordination/services_test.go
+++ b/internal/coordination/services_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/types/dynamicpb"
 
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+	"github.com/cobaltvale/cobaltvale/internal/settings"
 )
 
 func service(id string, tasks int) jobForm {
@@ -289,6 +290,60 @@
 	}
 }
 
+// From a machine that is to be taken away replicas of a service move one after the
+// other, each once there is room kept for it; from the last moment on whatever comes.
+func TestReplicasMoveAheadOfTheEnd(t *testing.T) {
+	for _, room := range []bool{true, false} {
+		w := newWorld(t, "a", "b", "c")
+		w.cloud.refuse = true
+		first := w.worker("vm-0", "z1")
+		w.run(2 * time.Second)
+		n := w.leader()
+		want(t, "submit", n.submit(service("wk-1", 3)).Status, 201)
+		w.run(4 * time.Second)
+		want(t, "replicas", len(first.running()), 3)
+		if room {
+			w.worker("vm-1", "z1")
+			w.worker("vm-2", "z1")
+			w.run(4 * time.Second)
+		}
+		least := 3
+		for left := 14; left > 1; left-- {
+			first.notice = float64(left)
+			w.run(time.Second)
+			least = min(least, len(w.on("wk-1")))
+			if !room && left > 5 {
+				want(t, "replicas that stay while there is no room", len(first.running()), 3)
+			}
+		}
+		want(t, "left on the machine", len(first.running()), 0)
+		if room {
+			want(t, "moved", len(w.on("wk-1")), 3)
+			want(t, "served all the while", least >= 2, true)
+		}
+	}
+}
+
+// Classes that the users want started soon have a few machines ready before any
+// job of them is seen.
+func TestStandbyBeforeTheFirstService(t *testing.T) {
+	for _, aim := range []string{"wait", "deadline"} {
+		w := newWorld(t, "a", "b", "c")
+		for _, name := range w.names {
+			w.nodes[name].core.cfg.Settings.Objectives = []settings.Objective{{Kind: aim, Class: "portal", WithinS: 5, Share: 0.9}}
+		}
+		w.crash(w.leader().name)
+		w.run(30 * time.Second)
+		ordinary := 0
+		for _, q := range w.cloud.requests {
+			if !q.Spot {
+				ordinary += q.Count
+			}
+		}
+		want(t, "ordinary machines for "+aim, ordinary, map[string]int{"wait": 4}[aim])
+	}
+}
+
 // What this version sends is read by the schema of the version before, and says
 // the same there; and the other way round.
 func TestFramesOfTheVersionBefore(t *testing.T) {
--- a/internal/coordination/standby.go
+++ b/internal/coordination/standby.go
@@ -23,13 +23,13 @@
 // boot than the users want to wait. Unlike arrays, services may often not use spot
 // machines, and their replicas stay.
 type standby struct {
-	l       *leader
-	kinds   map[serviceKind]*serviceLoad
-	classes map[string]bool   // that jobs were seen of
-	want    map[variant]spare // room that should be free, by kind
-	has     map[variant]spare // of this, what there is or is to come
-	marked  []*machine        // that it is kept free on
-	roomy   []*machine        // that have room for services, marked or not
+	l      *leader
+	kinds  map[serviceKind]*serviceLoad
+	unseen map[string]bool   // classes whose starts the users want soon, of which no job was seen
+	want   map[variant]spare // room that should be free, by kind
+	has    map[variant]spare // of this, what there is or is to come
+	marked []*machine        // that it is kept free on
+	roomy  []*machine        // that have room for services, marked or not
 }
 
 // spare is machines with room for replicas, and how many of these fit on them.
@@ -56,7 +56,12 @@
 func (s *standby) init(l *leader) {
 	s.l = l
 	s.kinds = make(map[serviceKind]*serviceLoad)
-	s.classes = make(map[string]bool)
+	s.unseen = make(map[string]bool)
+	for _, o := range l.c.cfg.Settings.Objectives {
+		if o.Kind == "wait" || o.Kind == "up" {
+			s.unseen[o.Class] = true
+		}
+	}
 }
 
 // note takes in a new service.
@@ -96,8 +101,8 @@
 		}
 		s.weighKind(load, now)
 	}
-	if s.unseen(now) {
-		s.weighUnseen(now)
+	if len(s.unseen) > 0 && now-s.l.since > unseenAfter {
+		s.weighUnseen()
 	}
 	for v, n := range s.l.rent.booting {
 		if w := s.want[v]; w.machines > 0 {
@@ -148,19 +153,9 @@
 	return most
 }
 
-// unseen tells whether the users want starts of some class soon of which this
-// leader has not seen a job: services may begin on a running day.
-func (s *standby) unseen(now time.Duration) bool {
-	for _, o := range s.l.c.cfg.Settings.Objectives {
-		if (o.Kind == "wait" || o.Kind == "up") && !s.classes[o.Class] && now-s.l.since > unseenAfter {
-			return true
-		}
-	}
-	return false
-}
-
-// weighUnseen keeps a few ordinary machines of the cheapest kind, in all zones.
-func (s *standby) weighUnseen(now time.Duration) {
+// weighUnseen keeps a few ordinary machines of the cheapest kind, in all zones:
+// services may begin on a running day.
+func (s *standby) weighUnseen() {
 	var best *protocol.MachineType
 	for _, t := range s.l.c.fleet.types {
 		if best == nil || t.Price < best.Price {
@@ -200,13 +195,16 @@
 	lead := t.BootS * slowBoot / span
 	replicas := largest + tasks*lead + surely*math.Sqrt(squares*lead)
 	n := spare{max(min(s.prompt(load.spec.Class, largest), s.l.rent.there/standbyPart), min(spreadOver, int(largest))), int(math.Ceil(replicas))}
-	if load.spec.Apart && load.spec.Zone == "" {
-		for _, z := range t.Zones {
-			s.add(variant{v.typ, z, v.spot}, spare{(n.machines + 1) / 2, (n.replicas + 1) / 2})
-		}
+	if load.spec.Zone != "" {
+		s.add(v, n)
 		return
 	}
-	s.add(v, n)
+	// Each zone has its part, whether or not the job has to spread: one that is cut
+	// off takes no more than that with it.
+	parts := max(1, len(t.Zones))
+	for _, z := range t.Zones {
+		s.add(variant{v.typ, z, v.spot}, spare{(n.machines + parts - 1) / parts, (n.replicas + parts - 1) / parts})
+	}
 }
 
 // add wants at least that much room of a kind.
@@ -259,6 +257,17 @@
 	}
 }
 
+// takes tells whether some machine besides the given one has room kept for a
+// service's replica.
+func (s *standby) takes(j *leaderJob, m *machine, now time.Duration) bool {
+	for _, o := range s.marked {
+		if o != m && o.free.fits(j.spec) && allows(j.spec, o.variant) && s.l.usable(o, now) && !s.l.failsHere(j, o) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasImage tells whether another machine of the zone, with room kept for a
 // service's replica, has its image: to wait for that one's report takes less than
 // to fetch the image anew.
