--- a/internal/coordination/services_test.go
+++ b/internal/coordination/services_test.go
@@ -396,3 +396,31 @@
 	}
 	want(t, "what the version before reads of a service is an array", bytes.Equal(again, raw), true)
 }
+
+// Frames of kinds that this version does not know, or without what it expects, are
+// passed over; the stream goes on.
+func TestUnknownFramesArePassedOver(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.worker("vm-1", "z1")
+	w.run(2 * time.Second)
+	lead, other := w.leader(), w.follower()
+	for _, raw := range [][]byte{
+		{0xba, 0x06, 0x02, 0x08, 0x01},             // body 103
+		{0x1a, 0x00},                               // an empty join
+		{0x2a, 0x04, 0x12, 0x02, 0xd8, 0x07},       // a demand with a job of an unknown field, cut short
+		{0x3a, 0x06, 0x10, 0xff, 0xff, 0xff, 0x0f}, // an offer of a machine that nobody has
+		{0x52, 0x04, 0x0a, 0x02, 0x08, 0x63},       // an order for another
+		{0x8a, 0x01, 0x02, 0x08, 0x07},             // a question for promises without keys
+	} {
+		var f meshpb.Frame
+		if proto.Unmarshal(raw, &f) != nil {
+			continue // the transport ends such a stream
+		}
+		lead.core.LinkFrame(lead.links[other.name], &f)
+		other.core.LinkFrame(other.links[lead.name], &f)
+		w.settle()
+	}
+	want(t, "submit", other.submit(form("wk-1", 2)).Status, 201)
+	w.run(4 * time.Second)
+	want(t, "running", w.total(), 2)
+}
