Standby machines are marked as they come up and before the first offer

Machines that had just booted, and those of an earlier leader, were full of other work before the next second marked them: the first services waited up to 30 s.

--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -66,6 +66,7 @@
 	if !l.usable(m, now) {
 		return
 	}
+	l.standby.claim(m, now)
 	l.arrange(now)
 	k := l.demand.kinds[m.variant]
 	free := m.free
--- a/internal/coordination/standby.go
+++ b/internal/coordination/standby.go
@@ -15,6 +15,7 @@
 	unseenAfter  = 10 * time.Second // under a new leader
 	slowBoot     = 1.5              // times the usual boot, that one may take
 	standbyPart  = 20               // of all machines, that are kept for prompt starts at the most
+	unseenPart   = 50               // of all machines, that are kept for services before any was seen
 	spreadOver   = 4                // machines over which standby room is spread, so that some report comes soon
 )
 
@@ -27,7 +28,8 @@
 	kinds  map[serviceKind]*serviceLoad
 	unseen map[string]bool   // classes whose starts the users want soon, of which no job was seen
 	want   map[variant]spare // room that should be free, by kind
-	has    map[variant]spare // of this, what there is or is to come
+	has    map[variant]spare // of this, what there is
+	at     time.Duration     // when that was worked out
 	marked []*machine        // that it is kept free on
 	roomy  []*machine        // that have room for services, marked or not
 }
@@ -87,6 +89,7 @@
 // largest service of late, and for as many replicas as come, of late, while a
 // machine boots; and marks as many. What is marked takes nothing but services.
 func (s *standby) weigh(now time.Duration) {
+	s.at = now
 	s.want, s.has, s.marked = make(map[variant]spare), make(map[variant]spare), s.marked[:0]
 	for key, load := range s.kinds {
 		kept := load.at[:0]
@@ -101,14 +104,9 @@
 		}
 		s.weighKind(load, now)
 	}
-	if len(s.unseen) > 0 && now-s.l.since > unseenAfter {
+	if len(s.unseen) > 0 {
 		s.weighUnseen()
 	}
-	for v, n := range s.l.rent.booting {
-		if w := s.want[v]; w.machines > 0 {
-			s.has[v] = spare{min(n, w.machines), min(n*s.whole(v), w.replicas)}
-		}
-	}
 	// Those marked before stay so, and those come next that have something to
 	// gain from it: they are there, and hold services already.
 	s.roomy = s.roomy[:0]
@@ -127,6 +125,17 @@
 	}
 }
 
+// claim marks a machine that is about to be offered, if its room is wanted: one
+// that has just come up would be full before the next second.
+func (s *standby) claim(m *machine, now time.Duration) {
+	if now-s.at > time.Second {
+		s.weigh(now)
+	}
+	if !m.standby {
+		m.standby = s.counts(m, now)
+	}
+}
+
 // counts takes a machine in if it has room for services and more is wanted.
 func (s *standby) counts(m *machine, now time.Duration) bool {
 	w, h := s.want[m.variant], s.has[m.variant]
@@ -154,7 +163,8 @@
 }
 
 // weighUnseen keeps a few ordinary machines of the cheapest kind, in all zones:
-// services may begin on a running day.
+// services may begin on a running day, and those that come in the time in which
+// more machines boot have to find room. In a large fleet they cost little.
 func (s *standby) weighUnseen() {
 	var best *protocol.MachineType
 	for _, t := range s.l.c.fleet.types {
@@ -165,9 +175,10 @@
 	if best == nil {
 		return
 	}
+	n := max(spreadOver, min(2*spreadOver, s.l.rent.there/unseenPart))
 	for _, z := range best.Zones {
 		v := variant{best.Name, z, false}
-		s.add(v, spare{machines: (spreadOver + len(best.Zones) - 1) / len(best.Zones)})
+		s.add(v, spare{machines: (n + len(best.Zones) - 1) / len(best.Zones)})
 	}
 }
 
@@ -246,9 +257,19 @@
 
 // ask asks for the machines that are wanted and neither there nor to come.
 func (s *standby) ask(ask map[variant]int, left int, now time.Duration) {
+	if len(s.kinds) == 0 && now-s.l.since < unseenAfter {
+		return // classes are yet to be seen
+	}
+	coming := make(map[variant]int)
+	for v, n := range s.l.rent.booting {
+		coming[v] += n
+	}
+	for _, q := range s.l.rent.requests {
+		coming[q.v] += q.Count
+	}
 	for v, w := range s.want {
 		h, whole := s.has[v], s.whole(v)
-		n := max(w.machines-h.machines, (w.replicas-h.replicas+whole-1)/whole)
+		n := max(w.machines-h.machines, (w.replicas-h.replicas+whole-1)/whole) - coming[v]
 		for ; n > 0 && left > 0 && s.l.rent.refused[v] <= now; n-- {
 			ask[v]++
 			s.l.rent.ofType[v.typ]++
