--- a/internal/coordination/standby.go
+++ b/internal/coordination/standby.go
@@ -11,12 +11,11 @@
 const (
 	serviceSeen  = 10 * time.Minute // for how long a kind of service counts
 	serviceKinds = 64
-	maxReplicas  = 1000             // that are counted on one machine
-	unseenAfter  = 10 * time.Second // under a new leader
-	slowBoot     = 1.5              // times the usual boot, that one may take
-	standbyPart  = 20               // of all machines, that are kept for prompt starts at the most
-	unseenPart   = 50               // of all machines, that are kept for services before any was seen
-	spreadOver   = 4                // machines over which standby room is spread, so that some report comes soon
+	maxReplicas  = 1000 // that are counted on one machine
+	slowBoot     = 1.5  // times the usual boot, that one may take
+	standbyPart  = 20   // of all machines, that are kept for prompt starts at the most
+	unseenPart   = 50   // of all machines, that are kept for services before any was seen
+	spreadOver   = 4    // machines over which standby room is spread, so that some report comes soon
 )
 
 // standby is the room kept for replicas of services: those that come, and those
@@ -39,9 +38,9 @@
 
 // serviceKind is services that need the same of a machine.
 type serviceKind struct {
-	class, zone  string
-	spot         bool
-	cpus, memory float64
+	class, zone        string
+	spot               bool
+	cpus, gpus, memory float64
 }
 
 // serviceLoad is what came of a kind lately.
@@ -69,7 +68,7 @@
 // note takes in a new service.
 func (s *standby) note(j *leaderJob, now time.Duration) {
 	d := j.spec
-	k := serviceKind{d.Class, d.Zone, d.Spot, d.Cpus, d.MemoryGb}
+	k := serviceKind{d.Class, d.Zone, d.Spot, d.Cpus, d.Gpus, d.MemoryGb}
 	load := s.kinds[k]
 	if load == nil {
 		if len(s.kinds) >= serviceKinds {
@@ -107,8 +106,7 @@
 	if len(s.unseen) > 0 {
 		s.weighUnseen()
 	}
-	// Those marked before stay so, and those come next that have something to
-	// gain from it: they are there, and hold services already.
+	// Those marked before stay so: they hold services already, and their images.
 	s.roomy = s.roomy[:0]
 	for _, first := range []bool{true, false} {
 		for m := range s.l.machines.all {
@@ -257,7 +255,7 @@
 
 // ask asks for the machines that are wanted and neither there nor to come.
 func (s *standby) ask(ask map[variant]int, left int, now time.Duration) {
-	if len(s.kinds) == 0 && now-s.l.since < unseenAfter {
+	if len(s.kinds) == 0 && now-s.l.since < settleIn {
 		return // classes are yet to be seen
 	}
 	coming := make(map[variant]int)
