--- a/cmd/cobaltvale/serve.go
+++ b/cmd/cobaltvale/serve.go
@@ -8,10 +8,10 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/coordination"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 	"github.com/cobaltvale/cobaltvale/internal/settings"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 	"github.com/cobaltvale/cobaltvale/internal/transport"
 )
 
@@ -35,10 +35,10 @@
 	queue  *coordination.Queue
 }
 
-func (c caller) Call(method, path string, body []byte, timeout time.Duration, done func(bookkeeping.Result)) {
+func (c caller) Call(method, path string, body []byte, timeout time.Duration, done func(storage.Result)) {
 	c.client.Do(method, path, body, timeout, func(r transport.HTTPResult) {
 		c.queue.Post(func() {
-			done(bookkeeping.Result{Status: r.Status, Body: r.Body, NotSent: errors.Is(r.Err, transport.ErrNotSent)})
+			done(storage.Result{Status: r.Status, Body: r.Body, NotSent: errors.Is(r.Err, transport.ErrNotSent)})
 		})
 	})
 }
--- a/internal/coordination/cancel_test.go
+++ b/internal/coordination/cancel_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 // The meeting before all others: the state service refuses the leader alone,
@@ -100,12 +100,12 @@
 // answer, and so does not know. Nothing may wait for that.
 func TestCancellationThatItsOwnerDoesNotKnowOf(t *testing.T) {
 	d, _, owner, id := gap(t, 1)
-	d.state.onTxn = func(from string, txn *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
+	d.state.onTxn = func(from string, txn *protocol.Txn, apply func() storage.Result, done func(storage.Result)) bool {
 		if from != owner.name {
 			return false
 		}
 		apply()
-		done(bookkeeping.Result{})
+		done(storage.Result{})
 		return true
 	}
 	d.ask(owner, "ABORT", id)
@@ -124,10 +124,10 @@
 	d.ask(owner, "ABORT", id)
 	d.advance(400 * time.Millisecond)
 	d.crash(owner.name)
-	d.state.onTxn = func(from string, txn *protocol.Txn, _ func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
+	d.state.onTxn = func(from string, txn *protocol.Txn, _ func() storage.Result, done func(storage.Result)) bool {
 		for _, c := range txn.Then {
-			if from == owner.name && c.Put == bookkeeping.LedgerKey(owner.name) {
-				done(bookkeeping.Result{}) // lost
+			if from == owner.name && c.Put == storage.LedgerKey(owner.name) {
+				done(storage.Result{}) // lost
 				return true
 			}
 		}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -11,10 +11,10 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 	"github.com/cobaltvale/cobaltvale/internal/settings"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 // Link is an ordered stream of frames to another member, until it is down.
@@ -26,11 +26,11 @@
 
 // Env is the outside world.
 type Env struct {
-	Clock bookkeeping.Clock
+	Clock storage.Clock
 	Wall  func() time.Time
 	Rand  *rand.Rand
-	State bookkeeping.Caller
-	Cloud bookkeeping.Caller
+	State storage.Caller
+	Cloud storage.Caller
 	Log   zerolog.Logger
 }
 
@@ -73,11 +73,11 @@
 	cfg   *settings.File
 	tune  settings.Tuning
 	codec *protocol.Codec
-	store *bookkeeping.Store
+	store *storage.Store
 	log   zerolog.Logger
 
 	started time.Duration
-	me      bookkeeping.Holder
+	me      storage.Holder
 
 	deferred []func()
 	inbox    []localFrame
@@ -191,13 +191,13 @@
 	}
 	c := &Core{
 		env: env, cfg: cfg, tune: tune, codec: codec, log: env.Log, started: env.Clock.Now(),
-		me:     bookkeeping.Holder{Member: cfg.Member, Nonce: strconv.FormatUint(incarnation, 36), Records: bookkeeping.RecordsNow},
+		me:     storage.Holder{Member: cfg.Member, Nonce: strconv.FormatUint(incarnation, 36), Records: storage.RecordsNow},
 		peers:  make(map[string]*peer),
 		byLink: make(map[Link]*peer),
 	}
 	rps, writeRPS := c.stateShare(1 + len(cfg.Known))
 	kept := cfg.Settings.State.Kept()
-	c.store = bookkeeping.NewStore(env.State, env.Clock, codec, bookkeeping.Limits{
+	c.store = storage.NewStore(env.State, env.Clock, codec, storage.Limits{
 		RPS: rps, WriteRPS: writeRPS,
 		BurstRPS: kept.RPS * burstShare, BurstWrites: kept.WriteRPS * burstShare,
 		TxnOps: kept.TxnOps, ValueBytes: int(kept.ValueKB * 1024), Timeout: tune.RequestTimeout,
@@ -276,7 +276,7 @@
 		c.stream.join() // whatever event was missed, the ledgers join
 		c.beat(now)
 	}
-	if now-c.lastFlush >= bookkeeping.FlushEvery {
+	if now-c.lastFlush >= storage.FlushEvery {
 		c.lastFlush = now
 		c.owner.flush()
 	}
--- a/internal/coordination/day_test.go
+++ b/internal/coordination/day_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 // day plays users who check every answer, and machines whose leases end by
@@ -323,12 +323,12 @@
 // lose has a share of the transactions get no answer; they are carried out at
 // once, or 2 to 12 s later. Others are answered up to 0.3 s after they were.
 func (d *day) lose(share float64, atOnce bool) {
-	d.state.onTxn = func(_ string, _ *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
+	d.state.onTxn = func(_ string, _ *protocol.Txn, apply func() storage.Result, done func(storage.Result)) bool {
 		lost := d.rand.Float64() < share
 		if lost && !atOnce {
 			d.late = append(d.late, lateCall{d.now + 2*time.Second + time.Duration(d.rand.Int64N(int64(10*time.Second))), func() { apply() }})
 		}
-		r := bookkeeping.Result{}
+		r := storage.Result{}
 		if !lost {
 			r = apply()
 		} else if atOnce {
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -4,8 +4,8 @@
 	"strconv"
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 const (
@@ -67,7 +67,7 @@
 func (f *fleet) tick(now time.Duration) {
 	if !f.asking && now >= f.nextAsk && f.allow(now) {
 		f.asking = true
-		f.c.env.Cloud.Call("GET", "/catalog", nil, cloudTimeout, func(r bookkeeping.Result) {
+		f.c.env.Cloud.Call("GET", "/catalog", nil, cloudTimeout, func(r storage.Result) {
 			f.asking = false
 			var cat protocol.Catalog
 			if r.Status != 200 || f.c.codec.Decode(r.Body, &cat) != nil || len(cat.Types) == 0 {
@@ -96,7 +96,7 @@
 	if from != "" {
 		path += "&from=" + from
 	}
-	f.c.env.Cloud.Call("GET", path, nil, cloudTimeout, func(r bookkeeping.Result) {
+	f.c.env.Cloud.Call("GET", path, nil, cloudTimeout, func(r storage.Result) {
 		var page protocol.MachineList
 		if f.c.leader != l || r.Status != 200 || f.c.codec.Decode(r.Body, &page) != nil {
 			f.listing = false
--- a/internal/coordination/fleet_test.go
+++ b/internal/coordination/fleet_test.go
@@ -6,10 +6,10 @@
 	"testing"
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 	"github.com/cobaltvale/cobaltvale/internal/settings"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 // What the far larger fleets brought to light. A machine whose lease is over
@@ -150,9 +150,9 @@
 		w.wantStatus(owner, id, 200, "done")
 	}
 	calls := len(w.cloud.requests) + len(w.cloud.returns)
-	w.state.onTxn = func(from string, txn *protocol.Txn, apply func() bookkeeping.Result, _ func(bookkeeping.Result)) bool {
+	w.state.onTxn = func(from string, txn *protocol.Txn, apply func() storage.Result, _ func(storage.Result)) bool {
 		for _, c := range txn.Then {
-			if from == old.name && !strings.HasPrefix(c.Put, bookkeeping.MemberPrefix) {
+			if from == old.name && !strings.HasPrefix(c.Put, storage.MemberPrefix) {
 				if r := apply(); r.Status == 200 {
 					t.Errorf("%s has changed %s%s", from, c.Put, c.Delete)
 				}
@@ -279,7 +279,7 @@
 	lead, back := w.leader(), w.follower()
 	w.crash(back.name)
 	w.advance(8 * time.Second)
-	key := bookkeeping.LedgerKey(back.name)
+	key := storage.LedgerKey(back.name)
 	want(t, "taken over", lead.core.owner.ledgers[back.name] != nil, true)
 	w.start(back.name)
 	s := &back.core.session
@@ -316,7 +316,7 @@
 	w.crash(back.name)
 	w.advance(8 * time.Second)
 	want(t, "taken over", lead.core.owner.ledgers[back.name] != nil, true)
-	key := bookkeeping.LedgerKey(back.name)
+	key := storage.LedgerKey(back.name)
 	w.state.rev++
 	w.state.remove(key) // the holder's lease has ended, and it has not heard of it
 	w.start(back.name)
@@ -337,11 +337,11 @@
 	w.run(2 * time.Second)
 	lead, other := w.leader(), w.follower()
 	s := &other.core.session
-	s.onPromiseAsk(other.core.peers[lead.name], &meshpb.PromiseAsk{Round: 1, Keys: []*meshpb.HeldKey{{Key: bookkeeping.LeaderKey}}})
+	s.onPromiseAsk(other.core.peers[lead.name], &meshpb.PromiseAsk{Round: 1, Keys: []*meshpb.HeldKey{{Key: storage.LeaderKey}}})
 	promised := w.now
 	w.state.rev++
-	w.state.keys[bookkeeping.LeaderKey] = &stateKey{value: w.codec.Encode(other.core.me), stamp: w.state.rev, lease: s.lease}
-	s.see(bookkeeping.LeaderKey, w.codec.Encode(other.core.me), w.state.rev, true)
+	w.state.keys[storage.LeaderKey] = &stateKey{value: w.codec.Encode(other.core.me), stamp: w.state.rev, lease: s.lease}
+	s.see(storage.LeaderKey, w.codec.Encode(other.core.me), w.state.rev, true)
 	for w.now < promised+promiseSpan {
 		if other.core.leader != nil {
 			t.Fatalf("leads %v after the promise", w.now-promised)
@@ -466,11 +466,11 @@
 func TestRosterStaysWithinTheValueLimit(t *testing.T) {
 	w := newWorld(t, "a")
 	largest := 0
-	w.state.onTxn = func(_ string, txn *protocol.Txn, _ func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
+	w.state.onTxn = func(_ string, txn *protocol.Txn, _ func() storage.Result, done func(storage.Result)) bool {
 		for _, c := range txn.Then {
 			largest = max(largest, len(c.Value))
 			if len(c.Value) > 8<<10 {
-				done(bookkeeping.Result{Status: 400, Body: w.codec.Encode(map[string]any{"error": "value is too large"})})
+				done(storage.Result{Status: 400, Body: w.codec.Encode(map[string]any{"error": "value is too large"})})
 				return true
 			}
 		}
--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 // What the users added to the protocol when their deployments grew: jobs stay
@@ -20,10 +20,10 @@
 // meanwhile, it would make a second holder.
 func TestHeldClaimDiesWithItsProcess(t *testing.T) {
 	w := newWorld(t, "a", "b", "c")
-	var held func() bookkeeping.Result
+	var held func() storage.Result
 	claimer := ""
-	w.state.onTxn = func(from string, q *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
-		if held == nil && len(q.Then) == 1 && q.Then[0].Put == bookkeeping.LeaderKey {
+	w.state.onTxn = func(from string, q *protocol.Txn, apply func() storage.Result, done func(storage.Result)) bool {
+		if held == nil && len(q.Then) == 1 && q.Then[0].Put == storage.LeaderKey {
 			held, claimer = apply, from
 			return true
 		}
@@ -38,9 +38,9 @@
 	w.start(claimer)
 	w.advance(time.Second)
 	want(t, "registered", w.nodes[claimer].core.session.self != 0, true)
-	w.state.remove(bookkeeping.LeaderKey)
+	w.state.remove(storage.LeaderKey)
 	want(t, "held claim", held().Status, 409)
-	want(t, "leader key", w.state.keys[bookkeeping.LeaderKey] == nil, true)
+	want(t, "leader key", w.state.keys[storage.LeaderKey] == nil, true)
 }
 
 // A process that is not certain that its predecessor's claims are dead
@@ -50,8 +50,8 @@
 	w.worker("vm-1", "z1")
 	w.run(2 * time.Second)
 	lead, f := w.leader(), w.follower()
-	w.state.onTxn = func(from string, q *protocol.Txn, _ func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
-		return from == f.name && len(q.Then) == 1 && q.Then[0].Put == bookkeeping.SelfKey(f.name)
+	w.state.onTxn = func(from string, q *protocol.Txn, _ func() storage.Result, done func(storage.Result)) bool {
+		return from == f.name && len(q.Then) == 1 && q.Then[0].Put == storage.SelfKey(f.name)
 	}
 	w.crash(f.name)
 	w.start(f.name)
@@ -76,12 +76,12 @@
 			do func()
 		}
 		var late []event
-		w.state.onTxn = func(_ string, _ *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
+		w.state.onTxn = func(_ string, _ *protocol.Txn, apply func() storage.Result, done func(storage.Result)) bool {
 			if r.IntN(40) > 0 {
 				return false
 			}
 			// Held by the network: given up after a while, applied sooner or later.
-			late = append(late, event{w.now + 1500*time.Millisecond, func() { done(bookkeeping.Result{}) }},
+			late = append(late, event{w.now + 1500*time.Millisecond, func() { done(storage.Result{}) }},
 				event{w.now + time.Duration(r.IntN(8000))*time.Millisecond, func() { apply() }})
 			return true
 		}
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -4,10 +4,10 @@
 	"math"
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 	"github.com/cobaltvale/cobaltvale/internal/settings"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 const tombstoneFor = 10 * time.Minute // how long the leader remembers what has ended
@@ -115,7 +115,7 @@
 // countLedger reads the unfinished jobs of a ledger that nobody has joined
 // for yet: all their tasks may be running and count against their teams.
 func (l *leader) countLedger(g *leaderLedger) {
-	l.c.store.Unfinished(g.name, func(jobs []bookkeeping.RecoveredJob, ok bool) {
+	l.c.store.Unfinished(g.name, func(jobs []storage.RecoveredJob, ok bool) {
 		if l.c.leader != l || g.counted {
 			return
 		}
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 // Meetings of two troubles, as the operators' hunt page names them. That no task
@@ -227,7 +227,7 @@
 // Whatever it holds is fenced or harmless: every job ends as it should.
 func TestLateWriteOfEachKind(t *testing.T) {
 	kinds := map[string]func(c protocol.Change) bool{
-		"leader":    func(c protocol.Change) bool { return c.Put == bookkeeping.LeaderKey },
+		"leader":    func(c protocol.Change) bool { return c.Put == storage.LeaderKey },
 		"ledger":    func(c protocol.Change) bool { return strings.HasPrefix(c.Put, "m/ledger/") },
 		"member":    func(c protocol.Change) bool { return strings.HasPrefix(c.Put, "m/member/") },
 		"roster":    func(c protocol.Change) bool { return strings.HasPrefix(c.Put+c.Delete, "fleet/") },
@@ -242,11 +242,11 @@
 			w := newWorld(t, "a", "b", "c")
 			type late struct {
 				at    time.Duration
-				apply func() bookkeeping.Result
+				apply func() storage.Result
 			}
 			var held []late
 			n, hits := 0, 0
-			w.state.onTxn = func(_ string, txn *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
+			w.state.onTxn = func(_ string, txn *protocol.Txn, apply func() storage.Result, done func(storage.Result)) bool {
 				hit := false
 				for _, c := range txn.Then {
 					hit = hit || is(c)
@@ -259,7 +259,7 @@
 				}
 				hits++
 				held = append(held, late{w.now + time.Duration(2+n%11)*time.Second, apply})
-				done(bookkeeping.Result{})
+				done(storage.Result{})
 				return true
 			}
 			for i := range 6 {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -4,9 +4,9 @@
 	"strconv"
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 // ownedJob is an unfinished job of one of this process's ledgers.
@@ -37,7 +37,7 @@
 // ownedLedger is a ledger that this process holds.
 type ownedLedger struct {
 	name    string
-	book    *bookkeeping.Ledger
+	book    *storage.Ledger
 	ready   bool // recovered
 	joined  bool // the present leader counts it
 	jobs    map[string]*ownedJob
@@ -50,7 +50,7 @@
 
 type creation struct {
 	nonce   string
-	waiters []func(bookkeeping.CreateResult)
+	waiters []func(storage.CreateResult)
 }
 
 // owner holds what this process owns.
@@ -124,7 +124,7 @@
 func (o *owner) adopt(name string, lease, stamp uint64) {
 	o.drop(name)
 	l := &ownedLedger{name: name, jobs: make(map[string]*ownedJob), creates: make(map[string]*creation)}
-	l.book = bookkeeping.NewLedger(o.c.store, name, o.c.me, lease, stamp, func() {
+	l.book = storage.NewLedger(o.c.store, name, o.c.me, lease, stamp, func() {
 		o.c.log.Error().Str("ledger", name).Msg("ledger lost")
 		o.drop(name)
 	})
@@ -132,7 +132,7 @@
 	l.tries = stamp << 20
 	l.before = l.tries
 	o.ledgers[name] = l
-	l.book.Recover(func(jobs []bookkeeping.RecoveredJob) {
+	l.book.Recover(func(jobs []storage.RecoveredJob) {
 		for i := range jobs {
 			o.recovered(l, &jobs[i])
 		}
@@ -148,7 +148,7 @@
 	})
 }
 
-func (o *owner) recovered(l *ownedLedger, r *bookkeeping.RecoveredJob) {
+func (o *owner) recovered(l *ownedLedger, r *storage.RecoveredJob) {
 	j := o.newJob(l, &r.Job, r.AtMs, "")
 	for i, done := range r.Done {
 		if done {
@@ -202,7 +202,7 @@
 	}
 	for _, cr := range l.creates {
 		for _, fn := range cr.waiters {
-			fn(bookkeeping.Unavailable)
+			fn(storage.Unavailable)
 		}
 	}
 	for m, refs := range o.held {
@@ -223,16 +223,16 @@
 }
 
 // create writes a new job to this member's own ledger.
-func (o *owner) create(spec *protocol.Job, atMs int64, until time.Duration, done func(bookkeeping.CreateResult)) {
+func (o *owner) create(spec *protocol.Job, atMs int64, until time.Duration, done func(storage.CreateResult)) {
 	l := o.ledgers[o.c.cfg.Member]
 	if l == nil || !l.ready {
-		done(bookkeeping.Unavailable)
+		done(storage.Unavailable)
 		return
 	}
 	if o.jobs[spec.ID] != nil {
 		// A repeat while the end is being written: in one batch with the end it
 		// ended the process.
-		done(bookkeeping.Exists)
+		done(storage.Exists)
 		return
 	}
 	if cr := l.creates[spec.ID]; cr != nil {
@@ -240,11 +240,11 @@
 		return
 	}
 	o.nonces++
-	cr := &creation{nonce: o.c.me.Nonce + "-" + strconv.FormatUint(o.nonces, 36), waiters: []func(bookkeeping.CreateResult){done}}
+	cr := &creation{nonce: o.c.me.Nonce + "-" + strconv.FormatUint(o.nonces, 36), waiters: []func(storage.CreateResult){done}}
 	l.creates[spec.ID] = cr
-	l.book.Create(spec, atMs, cr.nonce, until, func(r bookkeeping.CreateResult) {
+	l.book.Create(spec, atMs, cr.nonce, until, func(r storage.CreateResult) {
 		delete(l.creates, spec.ID)
-		if r == bookkeeping.Created && l.jobs[spec.ID] == nil {
+		if r == storage.Created && l.jobs[spec.ID] == nil {
 			o.newJob(l, spec, atMs, cr.nonce)
 		}
 		for _, fn := range cr.waiters {
--- a/internal/coordination/page_test.go
+++ b/internal/coordination/page_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 // The meetings of the operators' page that need no script of their own beyond
@@ -169,7 +169,7 @@
 					d.submit(d.anyNode(), 4)
 				}
 				if s == 4 {
-					d.state.onTxn = func(_ string, _ *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
+					d.state.onTxn = func(_ string, _ *protocol.Txn, apply func() storage.Result, done func(storage.Result)) bool {
 						r := apply()
 						d.late = append(d.late, lateCall{d.now + time.Second, func() { done(r) }})
 						return true
--- a/internal/coordination/promise.go
+++ b/internal/coordination/promise.go
@@ -4,8 +4,8 @@
 	"math"
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 // While the state service is away nobody can renew a lease, yet no lease
@@ -123,10 +123,10 @@
 	delete(p.rounds, p.round-askRounds)
 	f := &meshpb.PromiseAsk{Round: p.round}
 	for name, l := range s.c.owner.ledgers {
-		f.Keys = append(f.Keys, &meshpb.HeldKey{Key: bookkeeping.LedgerKey(name), Stamp: l.book.Stamp()})
+		f.Keys = append(f.Keys, &meshpb.HeldKey{Key: storage.LedgerKey(name), Stamp: l.book.Stamp()})
 	}
 	if s.c.leader != nil {
-		f.Keys = append(f.Keys, &meshpb.HeldKey{Key: bookkeeping.LeaderKey, Stamp: s.c.leader.token})
+		f.Keys = append(f.Keys, &meshpb.HeldKey{Key: storage.LeaderKey, Stamp: s.c.leader.token})
 	}
 	if len(f.Keys) == 0 {
 		return
@@ -141,13 +141,13 @@
 func (s *session) onPromiseAsk(from *peer, f *meshpb.PromiseAsk) {
 	given := s.viewOK && s.self != 0 && len(f.Keys) > 0
 	for _, k := range f.Keys {
-		if k.Key == bookkeeping.LeaderKey && given {
+		if k.Key == storage.LeaderKey && given {
 			s.leads(from, k.Stamp)
 		}
 		held := &s.leaderK
-		name := bookkeeping.LeaderKey
-		if k.Key != bookkeeping.LeaderKey {
-			name, _ = bookkeeping.LedgerOfKey(k.Key)
+		name := storage.LeaderKey
+		if k.Key != storage.LeaderKey {
+			name, _ = storage.LedgerOfKey(k.Key)
 			held = s.ledgers[name]
 		}
 		switch {
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -5,8 +5,8 @@
 	"sort"
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 const (
@@ -152,7 +152,7 @@
 		}
 		q.busy = true
 		q.tries++
-		r.l.c.env.Cloud.Call("POST", "/hosts", r.l.c.codec.Encode(q.RentRequest), cloudTimeout, func(res bookkeeping.Result) {
+		r.l.c.env.Cloud.Call("POST", "/hosts", r.l.c.codec.Encode(q.RentRequest), cloudTimeout, func(res storage.Result) {
 			if r.l.c.leader == r.l {
 				r.answered(q, res)
 			}
@@ -160,7 +160,7 @@
 	}
 }
 
-func (r *renting) answered(q *rentRequest, res bookkeeping.Result) {
+func (r *renting) answered(q *rentRequest, res storage.Result) {
 	now := r.l.c.now()
 	q.busy = false
 	done := true
@@ -246,7 +246,7 @@
 	for _, n := range names {
 		r.l.machines.get(n).releasing = true
 	}
-	r.l.c.env.Cloud.Call("POST", "/hosts/release", r.l.c.codec.Encode(protocol.MachineNames{Machines: names}), cloudTimeout, func(res bookkeeping.Result) {
+	r.l.c.env.Cloud.Call("POST", "/hosts/release", r.l.c.codec.Encode(protocol.MachineNames{Machines: names}), cloudTimeout, func(res storage.Result) {
 		if r.l.c.leader != r.l {
 			return
 		}
--- a/internal/coordination/roster.go
+++ b/internal/coordination/roster.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 // The roster is the set of machines that may hold a task. Every machine is
@@ -51,14 +51,14 @@
 	sort.Strings(names)
 	l.naming, l.nextName = true, now+nameEvery
 	l.records++
-	l.c.store.RecordMachines(l.token, l.records, names, func(key string, r bookkeeping.TxnResult) {
+	l.c.store.RecordMachines(l.token, l.records, names, func(key string, r storage.TxnResult) {
 		if l.c.leader != l {
 			return
 		}
 		l.naming = false
 		for _, m := range batch {
 			m.recording = false // its next report asks again if need be
-			if r.Outcome == bookkeeping.Applied {
+			if r.Outcome == storage.Applied {
 				m.record = key
 			}
 		}
@@ -145,13 +145,13 @@
 	}
 	sort.Strings(names)
 	l.rewriting = true
-	l.c.store.RewriteRecord(l.token, key, names, func(r bookkeeping.TxnResult) {
+	l.c.store.RewriteRecord(l.token, key, names, func(r storage.TxnResult) {
 		if l.c.leader != l {
 			return
 		}
 		l.rewriting = false
 		for _, m := range gone {
-			if r.Outcome == bookkeeping.Applied {
+			if r.Outcome == storage.Applied {
 				m.record = ""
 			}
 		}
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 const longEnough = 30 * time.Second // any lease with all its margins
@@ -390,8 +390,8 @@
 func TestLateTransactionIsFenced(t *testing.T) {
 	w := newWorld(t, "a", "b", "c")
 	f := w.follower()
-	var late func() bookkeeping.Result
-	w.state.onTxn = func(from string, txn *protocol.Txn, apply func() bookkeeping.Result, _ func(bookkeeping.Result)) bool {
+	var late func() storage.Result
+	w.state.onTxn = func(from string, txn *protocol.Txn, apply func() storage.Result, _ func(storage.Result)) bool {
 		if late == nil && len(txn.Then) > 0 && strings.HasPrefix(txn.Then[0].Put, "job/") {
 			late = apply
 			return true
@@ -413,7 +413,7 @@
 	for _, applied := range []bool{true, false} {
 		w := newWorld(t, "a", "b")
 		hit := false
-		w.state.onTxn = func(_ string, txn *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
+		w.state.onTxn = func(_ string, txn *protocol.Txn, apply func() storage.Result, done func(storage.Result)) bool {
 			if hit || len(txn.Then) == 0 || !strings.HasPrefix(txn.Then[0].Put, "job/") {
 				return false
 			}
@@ -421,7 +421,7 @@
 			if applied {
 				apply()
 			}
-			done(bookkeeping.Result{})
+			done(storage.Result{})
 			return true
 		}
 		want(t, "submit", w.nodes["a"].submit(form("wk-1", 2)).Status, 201)
@@ -435,7 +435,7 @@
 func TestOneIdAtTwoNodesIsOneJob(t *testing.T) {
 	w := newWorld(t, "a", "b")
 	var held []func()
-	w.state.onTxn = func(_ string, txn *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
+	w.state.onTxn = func(_ string, txn *protocol.Txn, apply func() storage.Result, done func(storage.Result)) bool {
 		if len(txn.Then) > 0 && strings.HasPrefix(txn.Then[0].Put, "job/") {
 			held = append(held, func() { done(apply()) })
 			return true
@@ -500,8 +500,8 @@
 	w := newWorld(t, "a", "b")
 	want(t, "submit", w.nodes["a"].submit(form("wk-1", 1)).Status, 201)
 	var answer func()
-	w.state.onTxn = func(_ string, txn *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
-		if answer == nil && len(txn.Then) > 0 && txn.Then[0].Put == bookkeeping.JobKey("wk-1") {
+	w.state.onTxn = func(_ string, txn *protocol.Txn, apply func() storage.Result, done func(storage.Result)) bool {
+		if answer == nil && len(txn.Then) > 0 && txn.Then[0].Put == storage.JobKey("wk-1") {
 			r := apply()
 			answer = func() { done(r) }
 			return true
@@ -524,9 +524,9 @@
 	w.run(2 * time.Second)
 	want(t, "submit", w.nodes["a"].submit(form("wk-1", 8)).Status, 201)
 	w.run(2 * time.Second)
-	w.state.onTxn = func(_ string, txn *protocol.Txn, _ func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
+	w.state.onTxn = func(_ string, txn *protocol.Txn, _ func() storage.Result, done func(storage.Result)) bool {
 		if len(txn.Then) > 0 && strings.HasPrefix(txn.Then[0].Put, "done/") {
-			done(bookkeeping.Result{Status: 503, Body: w.codec.Encode(map[string]any{"error": "trouble"})})
+			done(storage.Result{Status: 503, Body: w.codec.Encode(map[string]any{"error": "trouble"})})
 			return true
 		}
 		return false
@@ -684,16 +684,16 @@
 		w := newWorld(t, "a", "b", "c")
 		type late struct {
 			at    time.Duration
-			apply func() bookkeeping.Result
+			apply func() storage.Result
 		}
 		var unanswered []late
 		lateOnes := 0 // of 10
-		w.state.onTxn = func(from string, txn *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
+		w.state.onTxn = func(from string, txn *protocol.Txn, apply func() storage.Result, done func(storage.Result)) bool {
 			if r.IntN(10) >= lateOnes {
 				return false
 			}
 			unanswered = append(unanswered, late{w.now + time.Duration(2000+r.IntN(10000))*time.Millisecond, apply})
-			done(bookkeeping.Result{})
+			done(storage.Result{})
 			return true
 		}
 		for range 250 {
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 const (
@@ -21,7 +21,7 @@
 // heldKey is a leader or ledger key as the watch shows it.
 type heldKey struct {
 	present bool
-	holder  bookkeeping.Holder
+	holder  storage.Holder
 	stamp   uint64
 	since   time.Duration // when it was last seen to change
 }
@@ -159,13 +159,13 @@
 		return
 	}
 	s.registering = true
-	key := bookkeeping.SelfKey(s.c.cfg.Member)
+	key := storage.SelfKey(s.c.cfg.Member)
 	again := func() {
 		s.registering = false
 		s.retryAt = s.c.now() + sessionRetry
 	}
-	s.c.store.Get(bookkeeping.Urgent, key, func(p protocol.Pair, found, ok bool) {
-		var h bookkeeping.Holder
+	s.c.store.Get(storage.Urgent, key, func(p protocol.Pair, found, ok bool) {
+		var h storage.Holder
 		switch {
 		case !ok:
 			again()
@@ -176,11 +176,11 @@
 			s.self, s.registering = p.Stamp, false
 			return
 		}
-		s.c.store.Txn(bookkeeping.Urgent, protocol.Txn{
+		s.c.store.Txn(storage.Urgent, protocol.Txn{
 			If:   []protocol.Condition{{Key: key, Stamp: p.Stamp}},
 			Then: []protocol.Change{{Put: key, Value: s.c.codec.Encode(s.c.me)}},
-		}, func(r bookkeeping.TxnResult) {
-			if r.Outcome != bookkeeping.Applied {
+		}, func(r storage.TxnResult) {
+			if r.Outcome != storage.Applied {
 				again()
 				return
 			}
@@ -242,7 +242,7 @@
 			return
 		}
 		s.listing = true
-		s.c.store.List(bookkeeping.MemberPrefix, func(items []protocol.Pair, rev uint64, ok bool) {
+		s.c.store.List(storage.MemberPrefix, func(items []protocol.Pair, rev uint64, ok bool) {
 			s.listing = false
 			if !ok {
 				s.retryAt = s.c.now() + sessionRetry
@@ -258,7 +258,7 @@
 		return
 	}
 	s.watching = true
-	s.c.store.Watch(bookkeeping.MemberPrefix, s.revision, watchHold, func(ev protocol.Events, gone, ok bool) {
+	s.c.store.Watch(storage.MemberPrefix, s.revision, watchHold, func(ev protocol.Events, gone, ok bool) {
 		s.watching = false
 		if !ok {
 			s.retryAt = s.c.now() + sessionRetry
@@ -286,11 +286,11 @@
 		seen[it.Key] = true
 		s.see(it.Key, it.Value, it.Stamp, true)
 	}
-	if !seen[bookkeeping.LeaderKey] {
-		s.see(bookkeeping.LeaderKey, nil, s.revision, false)
+	if !seen[storage.LeaderKey] {
+		s.see(storage.LeaderKey, nil, s.revision, false)
 	}
 	for name := range s.ledgers {
-		if key := bookkeeping.LedgerKey(name); !seen[key] {
+		if key := storage.LedgerKey(name); !seen[key] {
 			s.see(key, nil, s.revision, false)
 		}
 	}
@@ -298,13 +298,13 @@
 }
 
 func (s *session) see(key string, value []byte, stamp uint64, present bool) {
-	if member, ok := bookkeeping.MemberOfKey(key); ok {
+	if member, ok := storage.MemberOfKey(key); ok {
 		s.versions.see(member, value, present)
 		return
 	}
 	k := &s.leaderK
-	if key != bookkeeping.LeaderKey {
-		name, ok := bookkeeping.LedgerOfKey(key)
+	if key != storage.LeaderKey {
+		name, ok := storage.LedgerOfKey(key)
 		if !ok {
 			return
 		}
@@ -317,15 +317,15 @@
 	if stamp < k.stamp || (stamp == k.stamp && k.present == present) {
 		return
 	}
-	var h bookkeeping.Holder
+	var h storage.Holder
 	if present && s.c.codec.Decode(value, &h) != nil {
 		return
 	}
 	*k = heldKey{present: present, holder: h, stamp: stamp, since: s.c.now()}
-	if key == bookkeeping.LedgerKey(s.c.cfg.Member) && present && h.Member != s.c.cfg.Member {
+	if key == storage.LedgerKey(s.c.cfg.Member) && present && h.Member != s.c.cfg.Member {
 		s.othersHoldOwn()
 	}
-	if key == bookkeeping.LeaderKey {
+	if key == storage.LeaderKey {
 		s.electAt = 0
 		if s.c.leader != nil && (!present || h != s.c.me || stamp != s.c.leader.token) {
 			s.c.log.Info().Str("leader", h.Member).Msg("another member leads")
@@ -345,7 +345,7 @@
 	if p == s.c.self || token <= s.leaderK.stamp {
 		return
 	}
-	s.see(bookkeeping.LeaderKey, s.c.codec.Encode(bookkeeping.Holder{Member: p.member}), token, true)
+	s.see(storage.LeaderKey, s.c.codec.Encode(storage.Holder{Member: p.member}), token, true)
 	s.c.stream.join()
 }
 
@@ -358,7 +358,7 @@
 }
 
 func ledgerName(key string) string {
-	name, _ := bookkeeping.LedgerOfKey(key)
+	name, _ := storage.LedgerOfKey(key)
 	return name
 }
 
@@ -397,23 +397,23 @@
 func (s *session) claim(name string, stamp uint64) {
 	s.claiming[name] = true
 	lease := s.lease
-	key := bookkeeping.LedgerKey(name)
-	s.put(key, stamp, func(r bookkeeping.TxnResult) {
+	key := storage.LedgerKey(name)
+	s.put(key, stamp, func(r storage.TxnResult) {
 		if lease != s.lease {
 			return
 		}
 		switch r.Outcome {
-		case bookkeeping.Applied:
+		case storage.Applied:
 			delete(s.claiming, name)
 			s.see(key, s.c.codec.Encode(s.c.me), r.Revision, true)
 			s.c.owner.adopt(name, lease, r.Revision)
-		case bookkeeping.NoLease:
+		case storage.NoLease:
 			s.end()
 		default:
 			// Without an answer the key may or may not be ours; the fresh
 			// view decides, and a claim of ours that is applied late shows
 			// there as held by this member.
-			s.c.store.Get(bookkeeping.Urgent, key, func(p protocol.Pair, found, ok bool) {
+			s.c.store.Get(storage.Urgent, key, func(p protocol.Pair, found, ok bool) {
 				if lease != s.lease {
 					return
 				}
@@ -426,12 +426,12 @@
 	})
 }
 
-func (s *session) put(key string, stamp uint64, done func(bookkeeping.TxnResult)) {
-	self := bookkeeping.SelfKey(s.c.cfg.Member)
-	s.c.store.Txn(bookkeeping.Urgent, protocol.Txn{
+func (s *session) put(key string, stamp uint64, done func(storage.TxnResult)) {
+	self := storage.SelfKey(s.c.cfg.Member)
+	s.c.store.Txn(storage.Urgent, protocol.Txn{
 		If:   []protocol.Condition{{Key: key, Stamp: stamp}, {Key: self, Stamp: s.self}},
 		Then: []protocol.Change{{Put: key, Value: s.c.codec.Encode(s.c.me), Lease: s.lease}},
-	}, func(r bookkeeping.TxnResult) {
+	}, func(r storage.TxnResult) {
 		if r.FailedOn(self) {
 			s.self = 0
 		}
@@ -444,7 +444,7 @@
 func (s *session) elect(now time.Duration) {
 	k := &s.leaderK
 	own := k.present && k.holder.Member == s.c.cfg.Member && s.c.leader == nil
-	if s.claiming[bookkeeping.LeaderKey] || s.c.leader != nil || (k.present && !own) || now < s.abstainTo {
+	if s.claiming[storage.LeaderKey] || s.c.leader != nil || (k.present && !own) || now < s.abstainTo {
 		return
 	}
 	if s.electAt == 0 {
@@ -459,31 +459,31 @@
 	if now < s.electAt || (!earlier && !s.promises.freeToClaim(s.c, now)) {
 		return
 	}
-	s.claiming[bookkeeping.LeaderKey] = true
+	s.claiming[storage.LeaderKey] = true
 	lease, stamp := s.lease, uint64(0)
 	if own {
 		stamp = k.stamp
 	}
-	s.put(bookkeeping.LeaderKey, stamp, func(r bookkeeping.TxnResult) {
+	s.put(storage.LeaderKey, stamp, func(r storage.TxnResult) {
 		if lease != s.lease {
 			return
 		}
 		switch r.Outcome {
-		case bookkeeping.Applied:
-			delete(s.claiming, bookkeeping.LeaderKey)
-			s.see(bookkeeping.LeaderKey, s.c.codec.Encode(s.c.me), r.Revision, true)
+		case storage.Applied:
+			delete(s.claiming, storage.LeaderKey)
+			s.see(storage.LeaderKey, s.c.codec.Encode(s.c.me), r.Revision, true)
 			s.c.becomeLeader(r.Revision)
-		case bookkeeping.NoLease:
+		case storage.NoLease:
 			s.end()
 		default:
 			s.electAt = 0
-			s.c.store.Get(bookkeeping.Urgent, bookkeeping.LeaderKey, func(p protocol.Pair, found, ok bool) {
+			s.c.store.Get(storage.Urgent, storage.LeaderKey, func(p protocol.Pair, found, ok bool) {
 				if lease != s.lease {
 					return
 				}
-				delete(s.claiming, bookkeeping.LeaderKey)
+				delete(s.claiming, storage.LeaderKey)
 				if ok && found {
-					s.see(bookkeeping.LeaderKey, p.Value, p.Stamp, true)
+					s.see(storage.LeaderKey, p.Value, p.Stamp, true)
 				}
 			})
 		}
@@ -508,11 +508,11 @@
 // tries until the key is gone: kept alive by the lease, it would keep every
 // other member out.
 func (s *session) dropLeaderKey(token uint64) {
-	s.c.store.Txn(bookkeeping.Urgent, protocol.Txn{
-		If:   []protocol.Condition{{Key: bookkeeping.LeaderKey, Stamp: token}},
-		Then: []protocol.Change{{Delete: bookkeeping.LeaderKey}},
-	}, func(r bookkeeping.TxnResult) {
-		if r.Outcome == bookkeeping.Refused || r.Outcome == bookkeeping.Unknown {
+	s.c.store.Txn(storage.Urgent, protocol.Txn{
+		If:   []protocol.Condition{{Key: storage.LeaderKey, Stamp: token}},
+		Then: []protocol.Change{{Delete: storage.LeaderKey}},
+	}, func(r storage.TxnResult) {
+		if r.Outcome == storage.Refused || r.Outcome == storage.Unknown {
 			s.c.store.After(sessionRetry, func() { s.dropLeaderKey(token) })
 		}
 	})
@@ -531,10 +531,10 @@
 // giveUp releases a ledger's key and forgets the ledger.
 func (s *session) giveUp(name string) {
 	s.claiming[name] = true
-	s.c.owner.ledgers[name].book.Release(func(r bookkeeping.TxnResult) {
+	s.c.owner.ledgers[name].book.Release(func(r storage.TxnResult) {
 		delete(s.claiming, name)
-		if r.Outcome == bookkeeping.Applied {
-			s.see(bookkeeping.LedgerKey(name), nil, r.Revision, false)
+		if r.Outcome == storage.Applied {
+			s.see(storage.LedgerKey(name), nil, r.Revision, false)
 		}
 	})
 	s.c.owner.drop(name)
--- a/internal/coordination/storm_test.go
+++ b/internal/coordination/storm_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 // ask sends a request without waiting for its answer.
@@ -71,7 +71,7 @@
 	w := newWorld(t, "a", "b", "c")
 	lead, f := w.leader(), w.follower()
 	var held func()
-	w.state.onTxn = func(from string, txn *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool {
+	w.state.onTxn = func(from string, txn *protocol.Txn, apply func() storage.Result, done func(storage.Result)) bool {
 		if from != f.name || len(txn.Then) > 0 || held != nil {
 			return false
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -4,9 +4,9 @@
 	"strings"
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 const (
@@ -32,7 +32,7 @@
 	order  []string // of finals, the oldest first
 	// records remembers what was read of jobs that go on: to which ledger each
 	// belongs, which never changes, and the stamp by which a change would show.
-	records map[string]bookkeeping.KnownRecord
+	records map[string]storage.KnownRecord
 	asks    map[uint64]*ask
 	askSeq  uint64
 	timers  []timer
@@ -54,7 +54,7 @@
 func (u *users) init(c *Core) {
 	u.c = c
 	u.finals = make(map[string]ending)
-	u.records = make(map[string]bookkeeping.KnownRecord)
+	u.records = make(map[string]storage.KnownRecord)
 	u.asks = make(map[uint64]*ask)
 }
 
@@ -225,11 +225,11 @@
 		u.lookUp(job.ID, 200, func() Response { return c.refusal(503, "too much unfinished work", 10) }, reply)
 		return
 	}
-	c.owner.create(job, c.env.Wall().UnixMilli(), c.now()+submitTimeout, func(r bookkeeping.CreateResult) {
+	c.owner.create(job, c.env.Wall().UnixMilli(), c.now()+submitTimeout, func(r storage.CreateResult) {
 		switch r {
-		case bookkeeping.Created:
+		case storage.Created:
 			reply(c.status(201, job.ID, protocol.StatusPending, 0, 0))
-		case bookkeeping.Exists:
+		case storage.Exists:
 			u.lookUp(job.ID, 200, func() Response { return c.refusal(503, "state is being read", 1) }, reply)
 		default:
 			reply(c.refusal(503, "state service is away", 1))
@@ -304,11 +304,11 @@
 // Nothing less than a fresh read may say that a job is unknown, and nothing
 // less than that or its owner that it goes on.
 func (u *users) lookUp(id string, code int, absent func() Response, reply func(Response)) {
-	u.read(id, code, absent, reply, func(rec bookkeeping.KnownRecord) {
+	u.read(id, code, absent, reply, func(rec storage.KnownRecord) {
 		u.ask(id, code, rec.Ledger, reply, func() {
 			// The owner does not answer. The job may have come to its end
 			// since the record was read.
-			u.read(id, code, absent, reply, func(bookkeeping.KnownRecord) {
+			u.read(id, code, absent, reply, func(storage.KnownRecord) {
 				reply(u.c.status(code, id, protocol.StatusPending, 0, 0))
 			})
 		})
@@ -316,9 +316,9 @@
 }
 
 // read answers from a job's record unless the job goes on.
-func (u *users) read(id string, code int, absent func() Response, reply func(Response), goesOn func(bookkeeping.KnownRecord)) {
+func (u *users) read(id string, code int, absent func() Response, reply func(Response), goesOn func(storage.KnownRecord)) {
 	c := u.c
-	c.store.Job(id, u.records[id], c.now()+statusTimeout, func(rec bookkeeping.KnownRecord, found, ok bool) {
+	c.store.Job(id, u.records[id], c.now()+statusTimeout, func(rec storage.KnownRecord, found, ok bool) {
 		switch {
 		case !ok:
 			reply(c.refusal(503, "state service is away", 1))
@@ -370,7 +370,7 @@
 	if rec, ok := u.records[id]; ok {
 		u.ask(id, 200, rec.Ledger, reply, func() {
 			// The owner does not answer. Only the record says whether it goes on.
-			u.read(id, 200, absent, reply, func(bookkeeping.KnownRecord) {
+			u.read(id, 200, absent, reply, func(storage.KnownRecord) {
 				reply(u.c.status(200, id, protocol.StatusPending, 0, 0))
 			})
 		})
@@ -395,7 +395,7 @@
 		u.withdraw(j, reply)
 		return
 	}
-	c.store.Job(id, u.records[id], c.now()+submitTimeout, func(rec bookkeeping.KnownRecord, found, ok bool) {
+	c.store.Job(id, u.records[id], c.now()+submitTimeout, func(rec storage.KnownRecord, found, ok bool) {
 		switch {
 		case !ok:
 			reply(c.refusal(503, "state service is away", 1))
--- a/internal/coordination/versions.go
+++ b/internal/coordination/versions.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 // Versions side by side. While the version before this one still runs, all that
@@ -31,7 +31,7 @@
 
 // see takes in a member's own key.
 func (v *versions) see(member string, value []byte, present bool) {
-	var h bookkeeping.Holder
+	var h storage.Holder
 	if !present || v.c.codec.Decode(value, &h) != nil {
 		return
 	}
@@ -46,7 +46,7 @@
 	all := true
 	for name, p := range v.c.peers {
 		records, known := v.records[name]
-		if !known || records >= bookkeeping.RecordsNow || (p.link == nil && !v.c.session.holdsAny(name) && v.awayFor(name, now) > unseenFor) {
+		if !known || records >= storage.RecordsNow || (p.link == nil && !v.c.session.holdsAny(name) && v.awayFor(name, now) > unseenFor) {
 			continue
 		}
 		all = false
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -13,10 +13,10 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cobaltvale/cobaltvale/internal/bookkeeping"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 	"github.com/cobaltvale/cobaltvale/internal/settings"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 // world is a deployment on a fake clock: controllers, scripted workers, and
@@ -585,12 +585,12 @@
 	w     *world
 	n     *node
 	run   uint64
-	serve func(from string, method, path string, body []byte, done func(bookkeeping.Result))
+	serve func(from string, method, path string, body []byte, done func(storage.Result))
 }
 
-func (f *fakeCaller) Call(method, path string, body []byte, _ time.Duration, done func(bookkeeping.Result)) {
+func (f *fakeCaller) Call(method, path string, body []byte, _ time.Duration, done func(storage.Result)) {
 	core := f.n.core
-	f.serve(f.n.name, method, path, body, func(r bookkeeping.Result) {
+	f.serve(f.n.name, method, path, body, func(r storage.Result) {
 		if f.n.up && f.n.core != nil && (core == nil || f.n.core == core) {
 			f.n.core.later(func() { done(r) })
 		}
@@ -611,7 +611,7 @@
 	unseen  map[string]bool // members whose watches tell nothing
 	// onTxn may take a transaction over: it returns true to swallow it, and
 	// may apply it later.
-	onTxn  func(from string, t *protocol.Txn, apply func() bookkeeping.Result, done func(bookkeeping.Result)) bool
+	onTxn  func(from string, t *protocol.Txn, apply func() storage.Result, done func(storage.Result)) bool
 	txns   int
 	writes int // changes that were asked for
 	asked  int // requests, but for watches and renewals
@@ -638,18 +638,18 @@
 	prefix string
 	from   uint64
 	until  time.Duration
-	done   func(bookkeeping.Result)
+	done   func(storage.Result)
 }
 
 func newFakeState(w *world) *fakeState {
 	return &fakeState{w: w, keys: make(map[string]*stateKey), leases: make(map[uint64]*stateLease), away: make(map[string]bool), unseen: make(map[string]bool)}
 }
 
-func (s *fakeState) answer(done func(bookkeeping.Result), status int, v any) {
-	done(bookkeeping.Result{Status: status, Body: s.w.codec.Encode(v)})
+func (s *fakeState) answer(done func(storage.Result), status int, v any) {
+	done(storage.Result{Status: status, Body: s.w.codec.Encode(v)})
 }
 
-func (s *fakeState) serve(from, method, path string, body []byte, done func(bookkeeping.Result)) {
+func (s *fakeState) serve(from, method, path string, body []byte, done func(storage.Result)) {
 	if (s.away[from] || s.away[""]) && !strings.HasPrefix(path, "/watch") {
 		s.answer(done, 503, map[string]any{"error": "trouble"})
 		return
@@ -667,9 +667,9 @@
 		if err := s.w.codec.Decode(body, &t); err != nil {
 			s.w.t.Fatal(err)
 		}
-		apply := func() bookkeeping.Result {
-			var out bookkeeping.Result
-			s.txn(&t, func(r bookkeeping.Result) { out = r })
+		apply := func() storage.Result {
+			var out storage.Result
+			s.txn(&t, func(r storage.Result) { out = r })
 			return out
 		}
 		s.txns++
@@ -721,7 +721,7 @@
 	}
 }
 
-func (s *fakeState) list(q url.Values, done func(bookkeeping.Result)) {
+func (s *fakeState) list(q url.Values, done func(storage.Result)) {
 	if s.hidden != "" && strings.HasPrefix(q.Get("under"), s.hidden) {
 		s.answer(done, 503, map[string]any{"error": "trouble"})
 		return
@@ -745,7 +745,7 @@
 	s.answer(done, 200, out)
 }
 
-func (s *fakeState) txn(t *protocol.Txn, done func(bookkeeping.Result)) {
+func (s *fakeState) txn(t *protocol.Txn, done func(storage.Result)) {
 	for _, c := range t.Then {
 		if c.Put != "" && c.Lease != 0 && s.leases[c.Lease] == nil {
 			s.answer(done, 400, map[string]any{"error": "no such lease"})
@@ -856,8 +856,8 @@
 	at                 time.Duration
 }
 
-func (c *fakeCloud) serve(_, method, path string, body []byte, done func(bookkeeping.Result)) {
-	answer := func(status int, v any) { done(bookkeeping.Result{Status: status, Body: c.w.codec.Encode(v)}) }
+func (c *fakeCloud) serve(_, method, path string, body []byte, done func(storage.Result)) {
+	answer := func(status int, v any) { done(storage.Result{Status: status, Body: c.w.codec.Encode(v)}) }
 	switch {
 	case path == "/catalog":
 		answer(200, protocol.Catalog{Types: append([]protocol.MachineType{{Name: "m8", CPUs: 8, MemoryGB: 64, CacheGB: 50,
@@ -881,7 +881,7 @@
 		}
 		c.answers[q.Request] = names
 		if c.silent {
-			done(bookkeeping.Result{})
+			done(storage.Result{})
 			return
 		}
 		answer(200, protocol.MachineNames{Machines: names})
--- a/internal/bookkeeping/jobs_test.go
+++ b/internal/storage/jobs_test.go
@@ -1,4 +1,4 @@
-package bookkeeping
+package storage
 
 import (
 	"fmt"
--- a/internal/bookkeeping/store.go
+++ b/internal/storage/store.go
@@ -1,11 +1,11 @@
-// Package bookkeeping keeps what has to outlive a process in the state
+// Package storage keeps what has to outlive a process in the state
 // service: ledgers, jobs and finished task ranges. It spaces requests so that
 // all controllers together stay within the service's rates, settles
 // transactions that got no answer, and reads everything back on recovery.
 //
 // Nothing in it is safe for concurrent use: the goroutine that owns the
 // controller's state calls it and receives its callbacks.
-package bookkeeping
+package storage
 
 import (
 	"math"
