Services get the type that boots and fetches sooner, if it costs about as much

Machines that have an image are full at once, so that nearly every replica fetched its image anew, for 2.5 s where starts are wanted within 2 s; and machines for the first services boot in 24 to 60 s, but come 25 s after the upgrade. reiger-16 costs 1.08 times as much a replica, takes eight, fetches in half of the time and boots in half. Ruled out: fetching ahead (no command does that), starts outside of report answers (docs/design.md).

On the presses' site there is one type; nothing changes.

--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -34,9 +34,10 @@
 }
 
 // keptForOthers tells whether machines of a type are kept for jobs that can
-// run nowhere else, while this job can.
+// run nowhere else, while this job can. Replicas of services are few and stay on
+// machines that were rented for them, whatever their type.
 func (l *leader) keptForOthers(j *leaderJob, typ string) bool {
-	return j.only != typ && l.rent.scarce(typ, l.c.now())
+	return !j.spec.Service && j.only != typ && l.rent.scarce(typ, l.c.now())
 }
 
 // offerable tells whether a task of a job may be offered a machine's room.
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -45,6 +45,7 @@
 	cutOff   map[string]bool // zones in which so many are silent that it must be a cut
 	booting  map[variant]int // machines that are to come
 	there    int             // machines that have reported
+	cpus     float64         // of these
 	variants []variant       // all that can be rented, spot ones first
 	ofType   map[string]int  // machines of each type, there or to come
 	warm     map[string]int  // and how many there should be at the least
--- a/internal/coordination/services_test.go
+++ b/internal/coordination/services_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/types/descriptorpb"
 	"google.golang.org/protobuf/types/dynamicpb"
 
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 	"github.com/cobaltvale/cobaltvale/internal/settings"
 )
@@ -344,6 +345,53 @@
 	}
 }
 
+// Of types that cost about as much for a replica the one that boots and fetches
+// sooner is rented for services, seen and not; one that costs more is not.
+func TestServicesGetTheTypeThatFetchesSooner(t *testing.T) {
+	for _, c := range []struct {
+		price float64
+		seen  bool
+		typ   string
+	}{{2.2, false, "m16"}, {2.2, true, "m16"}, {3, false, "m8"}, {3, true, "m8"}} {
+		w := newWorld(t, "a", "b", "c")
+		w.cloud.more = []protocol.MachineType{{Name: "m16", CPUs: 16, MemoryGB: 128, CacheGB: 50, FetchRate: 2, Price: c.price, SpotPrice: c.price / 3, BootS: 15, Zones: []string{"z1", "z2"}}}
+		w.run(90 * time.Second) // until all know the catalogue
+		if c.seen {
+			want(t, "submit", w.leader().submit(service("wk-1", 4)).Status, 201)
+		} else {
+			for _, name := range w.names {
+				w.nodes[name].core.cfg.Settings.Objectives = []settings.Objective{{Kind: "wait", Class: "d", WithinS: 5, Share: 0.9}}
+			}
+			w.crash(w.leader().name)
+		}
+		w.run(30 * time.Second)
+		types := make(map[string]bool)
+		for _, q := range w.cloud.requests {
+			types[q.Type] = true
+		}
+		want(t, fmt.Sprintf("types rented at %v, seen: %v", c.price, c.seen), fmt.Sprint(types), fmt.Sprint(map[string]bool{c.typ: true}))
+	}
+}
+
+// Machines kept for services take them even if other work waits that fits on no
+// other type.
+func TestServicesOnATypeThatOthersNeed(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.cloud.refuse = true
+	w.cloud.more = []protocol.MachineType{{Name: "m16", CPUs: 16, MemoryGB: 128, CacheGB: 50, FetchRate: 2, Price: 2.2, SpotPrice: 0.7, BootS: 15, Zones: []string{"z1", "z2"}}}
+	w.run(60 * time.Second) // until all know the catalogue
+	w.worker("vm-0", "z1").machine = "m16"
+	w.run(2 * time.Second)
+	n := w.leader()
+	want(t, "first", n.submit(service("wk-1", 2)).Status, 201)
+	w.run(4 * time.Second)
+	want(t, "array", n.submit(form("wk-2", 4).with("ramGb", 100.0)).Status, 201)
+	w.run(2 * time.Second)
+	want(t, "second", n.submit(service("wk-3", 3)).Status, 201)
+	w.run(4 * time.Second)
+	want(t, "replicas", fmt.Sprint(len(w.on("wk-1")), len(w.on("wk-3"))), "2 3")
+}
+
 // What this version sends is read by the schema of the version before, and says
 // the same there; and the other way round.
 func TestFramesOfTheVersionBefore(t *testing.T) {
--- a/internal/coordination/sizing.go
+++ b/internal/coordination/sizing.go
@@ -9,6 +9,11 @@
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 )
 
+const (
+	costTolerance  = 1e-12 // costs that differ by less are equal
+	servicePremium = 1.25  // times the least cost, that a replica's machine may cost if it fetches sooner
+)
+
 // scarce tells whether some job of late can run on no other type than typ.
 func (r *renting) scarce(typ string, now time.Duration) bool {
 	at, ok := r.needs[typ]
@@ -51,6 +56,7 @@
 func (r *renting) count(now time.Duration) {
 	r.inZone, r.booting, r.variants = make(map[string]int), make(map[variant]int), r.variants[:0]
 	r.ofType, r.warm, r.there = make(map[string]int), r.l.forecast.warm(now), 0
+	r.cpus = 0
 	for name, t := range r.l.c.fleet.types {
 		for _, z := range t.Zones {
 			r.variants = append(r.variants, variant{name, z, true}, variant{name, z, false})
@@ -74,6 +80,9 @@
 		if m.reported {
 			heard[m.zone]++
 			r.there++
+			if t := r.l.c.fleet.types[m.typ]; t != nil {
+				r.cpus += t.CPUs
+			}
 			if r.silence(m, now) > 0 && !r.delisted(m) {
 				silent[m.zone]++
 			}
@@ -273,47 +282,88 @@
 	return max(0, least)
 }
 
-// best chooses what to rent for a task: the cheapest by the room the task
-// takes, and of equals the zone with fewer machines.
+// rentable is a kind of machine that a task could be rented.
+type rentable struct {
+	kind     variant
+	cost     float64       // of the room that the task takes, per hour
+	fetch    time.Duration // of the task's image
+	machines int           // in the same zone, there or to come
+}
+
+// best chooses what to rent for a task: the cheapest by the room the task takes,
+// and of equals the zone with fewer machines. For a replica of a service kinds
+// count as equal that cost little more, and the one that fetches soonest is taken:
+// replicas are wanted back at once, and stay.
 func (r *renting) best(j *leaderJob, now time.Duration, ask map[variant]int) (variant, bool) {
-	s := j.spec
-	inZone := func(zone string) int {
-		n := r.inZone[zone]
-		for v, k := range ask {
-			if v.zone == zone {
-				n += k
-			}
+	choices := r.rentables(j, now, ask)
+	if len(choices) == 0 {
+		return variant{}, false
+	}
+	least := math.Inf(1)
+	for _, c := range choices {
+		least = math.Min(least, c.cost)
+	}
+	most := least + costTolerance
+	if j.spec.Service {
+		most = least * servicePremium
+	}
+	var best *rentable
+	for i := range choices {
+		c := &choices[i]
+		if c.cost <= most && (best == nil || c.preferredTo(best, j.spec.Service)) {
+			best = c
 		}
-		return n
 	}
-	var best variant
-	found, bestCost, bestCount := false, 0.0, 0
+	return best.kind, true
+}
+
+// preferredTo compares kinds that are about as cheap.
+func (a *rentable) preferredTo(b *rentable, service bool) bool {
+	switch {
+	case service && a.fetch != b.fetch:
+		return a.fetch < b.fetch
+	case math.Abs(a.cost-b.cost) > costTolerance:
+		return a.cost < b.cost
+	}
+	return a.machines < b.machines
+}
+
+// rentables lists the kinds that a task may be rented now.
+func (r *renting) rentables(j *leaderJob, now time.Duration, ask map[variant]int) []rentable {
+	asked := make(map[string]int)
+	for v, n := range ask {
+		asked[v.zone] += n
+	}
+	var out []rentable
 	for name, t := range r.l.c.fleet.types {
-		if !wholeRoom(t).fits(s) || r.l.keptForOthers(j, name) {
+		if !wholeRoom(t).fits(j.spec) || r.l.keptForOthers(j, name) {
 			continue
 		}
-		part := math.Max(s.Cpus/math.Max(t.CPUs, 1e-9), s.MemoryGb/math.Max(t.MemoryGB, 1e-9))
-		if t.GPUs > 0 {
-			part = math.Max(part, s.Gpus/t.GPUs)
-		}
-		for _, z := range t.Zones {
+		part := partOf(t, j.spec)
+		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
-				v := variant{name, z, spot}
-				if r.refused[v] > now || !allows(s, v) {
+				v := variant{name, zone, spot}
+				if r.refused[v] > now || !allows(j.spec, v) {
 					continue
 				}
-				cost := t.Price * part
+				price := t.Price
 				if spot {
-					cost = t.SpotPrice * part
-				}
-				count := inZone(z)
-				if !found || cost < bestCost-1e-12 || (cost <= bestCost+1e-12 && count < bestCount) {
-					best, found, bestCost, bestCount = v, true, cost, count
+					price = t.SpotPrice
 				}
+				out = append(out, rentable{kind: v, cost: price * part, fetch: fetchTime(j.image, t), machines: r.inZone[zone] + asked[zone]})
 			}
 		}
 	}
-	return best, found
+	return out
+}
+
+// partOf is the part of a machine that a task takes.
+func partOf(t *protocol.MachineType, s *meshpb.JobDemand) float64 {
+	part := math.Max(s.Cpus/math.Max(t.CPUs, 1e-9), s.MemoryGb/math.Max(t.MemoryGB, 1e-9))
+	if t.GPUs > 0 {
+		part = math.Max(part, s.Gpus/t.GPUs)
+	}
+	return part
 }
 
 // available tells whether a machine for a job's tasks can be had or is to come.
--- a/internal/coordination/standby.go
+++ b/internal/coordination/standby.go
@@ -13,7 +13,7 @@
 	serviceKinds = 64
 	maxReplicas  = 1000 // that are counted on one machine
 	slowBoot     = 1.5  // times the usual boot, that one may take
-	standbyPart  = 20   // of all machines, that are kept for prompt starts at the most
+	standbyPart  = 20   // of the fleet's CPUs, that are kept for prompt starts at the most
 	unseenPart   = 50   // of all machines, that are kept for services before any was seen
 	spreadOver   = 4    // machines over which standby room is spread, so that some report comes soon
 )
@@ -45,8 +45,9 @@
 
 // serviceLoad is what came of a kind lately.
 type serviceLoad struct {
-	spec *meshpb.JobDemand
-	at   []serviceArrival
+	spec  *meshpb.JobDemand
+	image *image // of the latest
+	at    []serviceArrival
 }
 
 type serviceArrival struct {
@@ -77,7 +78,7 @@
 		load = &serviceLoad{}
 		s.kinds[k] = load
 	}
-	load.spec = d
+	load.spec, load.image = d, j.image
 	age := time.Duration(s.l.c.env.Wall().UnixMilli()-d.SubmittedMs) * time.Millisecond
 	if len(load.at) < maxArrivals {
 		load.at = append(load.at, serviceArrival{now - max(0, age), int(d.Tasks)})
@@ -160,16 +161,11 @@
 	return most
 }
 
-// weighUnseen keeps a few ordinary machines of the cheapest kind, in all zones:
-// services may begin on a running day, and those that come in the time in which
-// more machines boot have to find room. In a large fleet they cost little.
+// weighUnseen keeps a few ordinary machines, in all zones: services may begin on a
+// running day, and those that come in the time in which more machines boot have to
+// find room. In a large fleet they cost little.
 func (s *standby) weighUnseen() {
-	var best *protocol.MachineType
-	for _, t := range s.l.c.fleet.types {
-		if best == nil || t.Price < best.Price {
-			best = t
-		}
-	}
+	best := s.soonest()
 	if best == nil {
 		return
 	}
@@ -180,8 +176,28 @@
 	}
 }
 
+// soonest is the type that boots soonest of those about as cheap by their CPUs as
+// the cheapest: what services will need of a machine is not known yet.
+func (s *standby) soonest() *protocol.MachineType {
+	perCPU := func(t *protocol.MachineType) float64 { return t.Price / math.Max(t.CPUs, 1) }
+	least := math.Inf(1)
+	for _, t := range s.l.c.fleet.types {
+		least = math.Min(least, perCPU(t))
+	}
+	var best *protocol.MachineType
+	for _, t := range s.l.c.fleet.types {
+		if perCPU(t) > least*servicePremium {
+			continue
+		}
+		if best == nil || t.BootS < best.BootS || (t.BootS == best.BootS && t.Name < best.Name) {
+			best = t
+		}
+	}
+	return best
+}
+
 func (s *standby) weighKind(load *serviceLoad, now time.Duration) {
-	j := &leaderJob{spec: load.spec, only: s.l.rent.onlyType(load.spec)}
+	j := &leaderJob{spec: load.spec, image: load.image, only: s.l.rent.onlyType(load.spec)}
 	// The kind counts whether or not the cloud refuses it at present: then what is
 	// there has to be kept all the more.
 	v, ok := s.l.rent.best(j, time.Duration(math.MaxInt64), nil)
@@ -203,7 +219,7 @@
 	span := math.Min(seenFor.Seconds(), (now - s.l.since + settleIn).Seconds())
 	lead := t.BootS * slowBoot / span
 	replicas := largest + tasks*lead + surely*math.Sqrt(squares*lead)
-	n := spare{max(min(s.prompt(load.spec.Class, largest), s.l.rent.there/standbyPart), min(spreadOver, int(largest))), int(math.Ceil(replicas))}
+	n := spare{max(min(s.prompt(load.spec.Class, largest), s.affordable(t)), min(spreadOver, int(largest))), int(math.Ceil(replicas))}
 	if load.spec.Zone != "" {
 		s.add(v, n)
 		return
@@ -222,6 +238,12 @@
 	s.want[v] = spare{max(w.machines, n.machines), max(w.replicas, n.replicas)}
 }
 
+// affordable is how many machines of a type may be kept for prompt starts: those
+// that make up a small part of the fleet's CPUs.
+func (s *standby) affordable(t *protocol.MachineType) int {
+	return int(s.l.rent.cpus / standbyPart / math.Max(t.CPUs, 1))
+}
+
 // prompt is how many machines have to have room for the last of a service's tasks
 // to find one that reports within half of the time in which the users want it
 // started, if each gets one: reports come apart by their interval.
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -398,6 +398,7 @@
 	w          *world
 	name       string
 	zone       string
+	machine    string // its type; empty: m8
 	session    uint64
 	seq        uint64
 	token      uint64
@@ -459,7 +460,11 @@
 		}
 		pages = append(pages, map[string]any{"page": t.name, "try": t.attempt, "status": t.state, "cause": t.why})
 	}
-	return k.w.codec.Encode(map[string]any{"roost": k.name, "address": "10.1.0.1:1", "breed": "m8", "hall": k.zone, "loaners": false,
+	machine := k.machine
+	if machine == "" {
+		machine = "m8"
+	}
+	return k.w.codec.Encode(map[string]any{"roost": k.name, "address": "10.1.0.1:1", "breed": machine, "hall": k.zone, "loaners": false,
 		"perch": k.session, "tick": k.seq, "baton": k.token, "recallInS": k.notice, "pages": pages})
 }
 
