--- a/internal/coordination/cancel_test.go
+++ b/internal/coordination/cancel_test.go
@@ -57,21 +57,27 @@
 			t.Run(fmt.Sprint(refused, " before, owner ", owns), func(t *testing.T) {
 				t.Parallel()
 				for _, mesh := range []string{"whole", "cut from the owner", "cut from the third"} {
-					cancelledInTheGap(t, refused, owns, mesh)
+					for _, service := range []bool{false, true} {
+						cancelledInTheGap(t, refused, owns, mesh, service)
+					}
 				}
 			})
 		}
 	}
 }
 
-func cancelledInTheGap(t *testing.T, refused time.Duration, owns, mesh string) {
+func cancelledInTheGap(t *testing.T, refused time.Duration, owns, mesh string, service bool) {
 	t.Helper()
 	d := newDay(t, uint64(refused), 4)
 	lead := d.leader()
 	confirming := d.follower()
 	third := d.third(lead, confirming)
 	owner := map[string]*node{"leader": lead, "confirming": confirming, "third": third}[owns]
-	id := d.submit(owner, 8)
+	submit := d.submit
+	if service {
+		submit = d.submitService
+	}
+	id := submit(owner, 8)
 	d.play(4, func(int) {})
 	want(t, "running", d.total(), 8)
 	d.state.away[lead.name] = true
--- a/internal/coordination/day_test.go
+++ b/internal/coordination/day_test.go
@@ -48,7 +48,13 @@
 
 func newDay(t *testing.T, seed uint64, machines int) *day {
 	t.Helper()
-	d := &day{world: newWorld(t, "a", "b", "c"), rand: rand.New(rand.NewPCG(seed, 11)), forms: make(map[string]jobForm),
+	return newDayIn(t, newWorld(t, "a", "b", "c"), seed, machines)
+}
+
+// newDayIn plays a day of a deployment that is there already.
+func newDayIn(t *testing.T, w *world, seed uint64, machines int) *day {
+	t.Helper()
+	d := &day{world: w, rand: rand.New(rand.NewPCG(seed, 11)), forms: make(map[string]jobForm),
 		told: make(map[string]string), toldAt: make(map[string]time.Duration), aborted: make(map[string]bool),
 		complete: make(map[string]bool), answers: make(map[string]time.Duration)}
 	d.leases = true
@@ -212,6 +218,11 @@
 	return id
 }
 
+// submitService hands a new service in at a node.
+func (d *day) submitService(n *node, replicas int, with ...any) string {
+	return d.submit(n, replicas, append([]any{"form", "service", "urgency", "production", "expectedS", 0.0}, with...)...)
+}
+
 func (d *day) isService(id string) bool { return d.forms[id]["form"] == "service" }
 
 func (d *day) anyNode() *node { return d.nodes[d.names[d.rand.IntN(len(d.names))]] }
--- a/internal/coordination/page_test.go
+++ b/internal/coordination/page_test.go
@@ -492,7 +492,7 @@
 		if s < 45 {
 			n := d.anyNode()
 			if s%5 == 4 {
-				d.submit(n, 1+r.IntN(2), "crew", "blue", "urgency", "production", "form", "service", "apart", s%2 == 0)
+				d.submitService(n, 1+r.IntN(2), "crew", "blue", "apart", s%2 == 0)
 			} else {
 				d.submit(n, 1+r.IntN(4), "crew", []string{"red", "blue"}[s%2], "urgency", []string{"urgent", "standard"}[r.IntN(2)])
 			}
--- /dev/null
+++ b/internal/coordination/production_test.go
@@ -0,0 +1,148 @@
+package coordination
+
+import (
+	"encoding/json"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protodesc"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/types/descriptorpb"
+	"google.golang.org/protobuf/types/dynamicpb"
+
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+)
+
+// A member that runs production's version is played by this one with what it knows
+// less: its key names no version of records, it ignores settings.state.next, and it
+// sends and reads frames by the schema in testdata/production. What else it does is
+// what this version does; the two programs themselves meet on the days of upgrades,
+// see docs/results.md.
+
+// schema is the mesh protocol of the version before.
+type schema struct {
+	once  sync.Once
+	found protoreflect.MessageDescriptor
+	err   error
+}
+
+var production schema
+
+// frame is what a frame is in it.
+func (s *schema) frame(t testing.TB) protoreflect.MessageDescriptor {
+	t.Helper()
+	s.once.Do(func() {
+		var b []byte
+		if b, s.err = os.ReadFile("testdata/production/mesh.binpb"); s.err != nil {
+			return
+		}
+		var set descriptorpb.FileDescriptorSet
+		if s.err = proto.Unmarshal(b, &set); s.err != nil {
+			return
+		}
+		files, err := protodesc.NewFiles(&set)
+		if s.err = err; err != nil {
+			return
+		}
+		d, err := files.FindDescriptorByName("cobaltvale.mesh.Frame")
+		if s.err = err; err == nil {
+			s.found, _ = d.(protoreflect.MessageDescriptor)
+		}
+	})
+	if s.err != nil || s.found == nil {
+		t.Fatalf("the schema of the version before: %v", s.err)
+	}
+	return s.found
+}
+
+// asRead is what is left of a frame where that version sends or reads it.
+func (s *schema) asRead(t testing.TB, f *meshpb.Frame) *meshpb.Frame {
+	t.Helper()
+	raw, err := proto.Marshal(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := dynamicpb.NewMessage(s.frame(t))
+	if err := (proto.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(raw, old); err != nil {
+		t.Fatal(err)
+	}
+	if raw, err = proto.Marshal(old); err != nil {
+		t.Fatal(err)
+	}
+	out := &meshpb.Frame{}
+	if err := proto.Unmarshal(raw, out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// stateLimits are what the stand-in of the state service takes.
+type stateLimits struct {
+	valueBytes, ops int
+	writeRPS        float64
+	level           float64 // changes that the rate allows now
+	at              time.Duration
+	refused         int // requests, for the rate
+}
+
+// beyondLimits is the status of a transaction that goes beyond the limits, or 0.
+// Only the version before may write what is too large.
+func (s *fakeState) beyondLimits(from string, t *protocol.Txn) int {
+	l := s.limits
+	if l == nil {
+		return 0
+	}
+	l.level = min(l.writeRPS, l.level+l.writeRPS*(s.w.now-l.at).Seconds())
+	l.at = s.w.now
+	if l.level < float64(len(t.Then)) {
+		l.refused++
+		return 429
+	}
+	l.level -= float64(len(t.Then))
+	large := len(t.Then) > l.ops
+	for _, c := range t.Then {
+		large = large || (c.Put != "" && s.jsonSize(c) > l.valueBytes)
+	}
+	if !large {
+		return 0
+	}
+	if !s.w.before[from] {
+		s.w.t.Errorf("%s writes %d changes, some value of which is too large or they are too many", from, len(t.Then))
+	}
+	return 400
+}
+
+// jsonSize is what the value of a change counts as.
+func (s *fakeState) jsonSize(c protocol.Change) int {
+	var v map[string]any // a codec takes maps only
+	if err := s.w.codec.Decode(s.w.codec.Encode(map[string]any{"v": c.Value}), &v); err != nil {
+		s.w.t.Fatal(err)
+	}
+	b, err := json.Marshal(textKeys(v["v"]))
+	if err != nil {
+		s.w.t.Fatal(err)
+	}
+	return len(b)
+}
+
+// textKeys makes a decoded value fit for JSON.
+func textKeys(v any) any {
+	switch v := v.(type) {
+	case map[any]any:
+		out := make(map[string]any, len(v))
+		for k, x := range v {
+			name, _ := k.(string)
+			out[name] = textKeys(x)
+		}
+		return out
+	case []any:
+		for i := range v {
+			v[i] = textKeys(v[i])
+		}
+	}
+	return v
+}
--- a/internal/coordination/services_test.go
+++ b/internal/coordination/services_test.go
@@ -9,9 +9,6 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
-	"google.golang.org/protobuf/reflect/protodesc"
-	"google.golang.org/protobuf/reflect/protoreflect"
-	"google.golang.org/protobuf/types/descriptorpb"
 	"google.golang.org/protobuf/types/dynamicpb"
 
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
@@ -167,6 +164,14 @@
 	want(t, "no limit", n.submit(service("wk-4", 17)).Status, 201)
 	want(t, "no urgency", n.submit(service("wk-5", 1).with("urgency", nil)).Status, 400)
 	want(t, "a gang", n.submit(service("wk-6", 1).with("form", "gang")).Status, 400)
+	want(t, "no form", n.submit(service("wk-6", 1).with("form", nil)).Status, 400)
+	want(t, "a run time", n.submit(service("wk-6", 1).with("expectedS", 30.0)).Status, 400)
+	want(t, "no run time", n.submit(service("wk-6", 1).with("expectedS", nil)).Status, 400)
+	want(t, "out of range", n.submit(service("wk-6", 1).with("vcpus", -1.0)).Status, 400)
+	want(t, "fits no machine", n.submit(service("wk-6", 1).with("vcpus", 9.0)).Status, 422)
+	want(t, "no allowed type", n.submit(service("wk-6", 1).with("breeds", []string{"x"})).Status, 422)
+	want(t, "unknown team", n.submit(service("wk-6", 1).with("crew", "green")).Status, 422)
+	want(t, "a retry, whatever it says", n.submit(service("wk-1", 17).with("crew", "red")).Status, 200)
 }
 
 // While some member runs the version before, which would take a service for an
@@ -403,22 +408,7 @@
 		}
 		return b
 	}
-	var set descriptorpb.FileDescriptorSet
-	if err := proto.Unmarshal(read("mesh.binpb"), &set); err != nil {
-		t.Fatal(err)
-	}
-	files, err := protodesc.NewFiles(&set)
-	if err != nil {
-		t.Fatal(err)
-	}
-	found, err := files.FindDescriptorByName("cobaltvale.mesh.Frame")
-	if err != nil {
-		t.Fatal(err)
-	}
-	frame, ok := found.(protoreflect.MessageDescriptor)
-	if !ok {
-		t.Fatal("Frame is no message")
-	}
+	frame := production.frame(t)
 	raw := read("join.binpb")
 	var f meshpb.Frame
 	if err := proto.Unmarshal(raw, &f); err != nil {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -30,7 +30,8 @@
 	state   *fakeState
 	cloud   *fakeCloud
 	workers map[string]*worker
-	before  map[string]bool // members that run the version before
+	before  map[string]bool // members that run the version before, see production
+	next    string          // settings.state.next, which only this version knows
 	runs    uint64
 	conns   uint64
 	leases  bool                           // workers' leases end by themselves
@@ -92,12 +93,23 @@
 `
 
 func newWorld(t testing.TB, names ...string) *world {
+	t.Helper()
+	return newWorldOf(t, "", nil, names...)
+}
+
+// newWorldOf has limits that the state service will have later, and members that
+// run the version before.
+func newWorldOf(t testing.TB, next string, before []string, names ...string) *world {
 	t.Helper()
 	codec, err := protocol.NewCodec()
 	if err != nil {
 		t.Fatal(err)
 	}
 	w := &world{t: t, codec: codec, now: time.Hour, nodes: make(map[string]*node), names: names, workers: make(map[string]*worker), before: make(map[string]bool)}
+	w.next = next
+	for _, n := range before {
+		w.before[n] = true
+	}
 	w.state = newFakeState(w)
 	w.cloud = &fakeCloud{w: w, answers: make(map[string][]string)}
 	for _, n := range names {
@@ -119,7 +131,11 @@
 			known += fmt.Sprintf("[[known]]\nmember = %q\nsite = \"z1\"\naddress = \"10.0.0.2:2\"\n", o)
 		}
 	}
-	file, err := settings.Parse(fmt.Appendf(nil, testSettings, name, known))
+	text := fmt.Appendf(nil, testSettings, name, known)
+	if !w.before[name] {
+		text = append(text, w.next...)
+	}
+	file, err := settings.Parse(text)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -223,6 +239,9 @@
 		l.w.t.Fatalf("a frame of %d bytes", n)
 	}
 	if !l.closed {
+		if l.w.before[l.to.name] || l.w.before[l.peer.to.name] {
+			f = production.asRead(l.w.t, f)
+		}
 		l.queue = append(l.queue, f)
 	}
 }
@@ -617,6 +636,7 @@
 	// onTxn may take a transaction over: it returns true to swallow it, and
 	// may apply it later.
 	onTxn  func(from string, t *protocol.Txn, apply func() storage.Result, done func(storage.Result)) bool
+	limits *stateLimits // beyond them it refuses; nil: none
 	txns   int
 	writes int // changes that were asked for
 	asked  int // requests, but for watches and renewals
@@ -679,6 +699,10 @@
 		}
 		s.txns++
 		s.writes += len(t.Then)
+		if refused := s.beyondLimits(from, &t); refused != 0 {
+			s.answer(done, refused, map[string]any{"error": "limits"})
+			return
+		}
 		if s.onTxn != nil && s.onTxn(from, &t, apply, done) {
 			return
 		}
--- a/internal/protocol/check.go
+++ b/internal/protocol/check.go
@@ -147,6 +147,9 @@
 		Types: s.Types, AnyType: s.Types == nil, OneZone: *s.OneZone, Spread: *s.Spread, Spot: *s.Spot,
 		EstimateS: *s.EstimateS, CheckpointS: *s.CheckpointS, SaveS: *s.SaveS, Service: *s.Kind == kindService,
 	}
+	if j.Service && j.EstimateS != 0 {
+		return nil, errors.New("expectedS of a service is not 0")
+	}
 	if s.Zone != nil {
 		j.Zone = *s.Zone
 	}
