Replicas on two machines where starts are urgent, or where the image is near

Two machines instead of three where starts are wanted within one report's interval; and a replica is left to a machine with its image if that one's report is due within half of a fetch.

--- a/internal/coordination/services_test.go
+++ b/internal/coordination/services_test.go
@@ -296,6 +296,50 @@
 	}
 }
 
+// Where starts are wanted sooner than machines report, two machines are enough: the
+// last replica waits for as many reports as there are machines.
+func TestReplicasLieOnTwoMachinesIfStartsAreUrgent(t *testing.T) {
+	for within, started := range map[float64]int{1: 6, 5: 4} {
+		w := newWorld(t, "a", "b", "c")
+		for _, name := range w.names {
+			w.nodes[name].core.cfg.Settings.Objectives = []settings.Objective{{Kind: "wait", Class: "d", WithinS: within, Share: 0.9}}
+		}
+		for i := range 3 {
+			w.worker(fmt.Sprintf("vm-%d", i), "z1")
+		}
+		w.run(2 * time.Second)
+		n := w.leader()
+		want(t, "first", n.submit(service("wk-1", 1)).Status, 201)
+		w.run(4 * time.Second)
+		want(t, "submit", n.submit(service("wk-2", 6)).Status, 201)
+		w.workers["vm-0"].report()
+		w.workers["vm-1"].report()
+		want(t, fmt.Sprint("started by two reports, wanted in ", within), len(w.on("wk-2")), started)
+	}
+}
+
+// A replica is left to a machine that has its image if that one's next report is due
+// sooner than the image could be fetched, and not otherwise.
+func TestReplicaWaitsForAnImageThatIsNear(t *testing.T) {
+	for since, goesTo := range map[time.Duration]string{1800 * time.Millisecond: "vm-0", 200 * time.Millisecond: "vm-1"} {
+		w := newWorld(t, "a", "b", "c")
+		first := w.worker("vm-0", "z1")
+		w.run(2 * time.Second)
+		n := w.leader()
+		want(t, "first", n.submit(service("wk-1", 1)).Status, 201)
+		w.run(4 * time.Second)
+		second := w.worker("vm-1", "z1")
+		w.run(4 * time.Second)
+		want(t, "where the image is", w.on("wk-1")["wk-1/0"], "vm-0")
+		first.report()
+		w.advance(since - tickEvery)
+		want(t, "second", n.submit(service("wk-2", 1)).Status, 201)
+		second.report()
+		first.report()
+		want(t, fmt.Sprint("goes to, last report before ", since), w.on("wk-2")["wk-2/0"], goesTo)
+	}
+}
+
 // From a machine that is to be taken away replicas of a service move one after the
 // other, each once there is room kept for it; from the last moment on whatever comes.
 func TestReplicasMoveAheadOfTheEnd(t *testing.T) {
--- a/internal/coordination/standby.go
+++ b/internal/coordination/standby.go
@@ -15,6 +15,7 @@
 	slowBoot     = 1.5  // times the usual boot, that one may take
 	standbyPart  = 20   // of the fleet's CPUs, that are kept for prompt starts at the most
 	unseenPart   = 50   // of all machines, that are kept for services before any was seen
+	dueWithin    = 2    // part of a fetch in which a report has to be due, to be waited for
 	spreadOver   = 4    // machines over which standby room is spread, so that some report comes soon
 )
 
@@ -310,21 +311,35 @@
 }
 
 // hasImage tells whether another machine of the zone, with room kept for a
-// service's replica, has its image: to wait for that one's report takes less than
-// to fetch the image anew.
+// service's replica, has its image, and to wait for that one's report takes less
+// than to fetch the image anew: a fetch takes longer than all reports come apart,
+// or its next report is due within half of a fetch.
 func (s *standby) hasImage(j *leaderJob, m *machine, now time.Duration) bool {
-	if !j.spec.Service || m.has(j.image) || fetchTime(j.image, s.l.c.fleet.types[m.typ]) <= seconds(s.l.c.cfg.Settings.Workers.ReportS) {
+	if !j.spec.Service || m.has(j.image) {
 		return false
 	}
+	now, fetch := s.l.c.now(), fetchTime(j.image, s.l.c.fleet.types[m.typ])
+	interval := seconds(s.l.c.cfg.Settings.Workers.ReportS)
 	for _, o := range s.marked {
 		if o != m && o.zone == m.zone && o.has(j.image) && o.free.fits(j.spec) && allows(j.spec, o.variant) &&
-			s.l.usable(o, now) && !s.l.failsHere(j, o) && !s.l.crowded(j, o) {
+			s.l.usable(o, now) && !s.l.failsHere(j, o) && !s.l.crowded(j, o) &&
+			(fetch > interval || o.heard+interval-now < fetch/dueWithin) {
 			return true
 		}
 	}
 	return false
 }
 
+// spreadOf is over how many machines of a zone a service's replicas are spread at
+// the least: three, or two where starts are wanted within one report's interval, as
+// the last of them waits for as many reports.
+func (s *standby) spreadOf(class string) int {
+	if _, within := s.l.forecast.wish(class); within > 0 && within < s.l.c.cfg.Settings.Workers.ReportS {
+		return 2
+	}
+	return 3
+}
+
 // crowded tells whether a machine has its part of a service's tasks, while others
 // of its zone have room too: the loss of one should not take most of them. Of three
 // or more machines each takes a third.
@@ -332,9 +347,9 @@
 	if !j.spec.Service {
 		return false
 	}
-	now, choices := l.c.now(), 1
+	now, choices, most := l.c.now(), 1, l.standby.spreadOf(j.spec.Class)
 	for _, o := range l.standby.roomy {
-		if choices == 3 {
+		if choices == most {
 			break
 		}
 		if o != m && o.zone == m.zone && o.free.fits(j.spec) && allows(j.spec, o.variant) && l.usable(o, now) && !l.failsHere(j, o) {
