--- a/internal/coordination/services_test.go
+++ b/internal/coordination/services_test.go
@@ -441,6 +441,30 @@
 	want(t, "replicas", fmt.Sprint(len(w.on("wk-1")), len(w.on("wk-3"))), "2 3")
 }
 
+// Machines are not kept for prompt starts while the cloud has too few of their type
+// for work that fits on no other: on two recorded days that work missed its deadlines.
+func TestStandbyLeavesAScarceTypeToOthers(t *testing.T) {
+	w := newWorld(t, "a")
+	w.run(60 * time.Second)
+	l := w.leader().core.leader
+	kind, now := variant{"m8", "z1", false}, w.now
+	kept := func() int {
+		l.rent.cpus = 1600
+		return l.standby.affordable(l.c.fleet.types["m8"], kind, now)
+	}
+	want(t, "a part of the fleet", kept(), 10)
+	l.rent.needs["m8"] = now
+	want(t, "others need the type, the cloud has it", kept(), 10)
+	l.rent.refused[kind] = now + refusedPause
+	want(t, "the cloud refuses it", kept(), 0)
+	now += refusedPause + contendedFor
+	l.rent.needs["m8"] = now
+	want(t, "it has not for a while", kept(), 10)
+	l.rent.refused[kind] = now
+	delete(l.rent.needs, "m8")
+	want(t, "nobody needs it", kept(), 10)
+}
+
 // What this version sends is read by the schema of the version before, and says
 // the same there; and the other way round.
 func TestFramesOfTheVersionBefore(t *testing.T) {
--- a/internal/coordination/standby.go
+++ b/internal/coordination/standby.go
@@ -11,12 +11,13 @@
 const (
 	serviceSeen  = 10 * time.Minute // for how long a kind of service counts
 	serviceKinds = 64
-	maxReplicas  = 1000 // that are counted on one machine
-	slowBoot     = 1.5  // times the usual boot, that one may take
-	standbyPart  = 20   // of the fleet's CPUs, that are kept for prompt starts at the most
-	expectedPart = 50   // of all machines, that are kept for services before any was seen
-	dueWithin    = 2    // part of a fetch in which a report has to be due, to be waited for
-	spreadOver   = 4    // machines over which standby room is spread, so that some report comes soon
+	maxReplicas  = 1000        // that are counted on one machine
+	slowBoot     = 1.5         // times the usual boot, that one may take
+	standbyPart  = 20          // of the fleet's CPUs, that are kept for prompt starts at the most
+	expectedPart = 50          // of all machines, that are kept for services before any was seen
+	contendedFor = time.Minute // after the cloud refused a type, others need what there is of it
+	dueWithin    = 2           // part of a fetch in which a report has to be due, to be waited for
+	spreadOver   = 4           // machines over which standby room is spread, so that some report comes soon
 )
 
 // standby is the room kept for replicas of services: those that come, and those
@@ -220,7 +221,7 @@
 	span := math.Min(seenFor.Seconds(), (now - s.l.since + settleIn).Seconds())
 	lead := t.BootS * slowBoot / span
 	replicas := largest + tasks*lead + surely*math.Sqrt(squares*lead)
-	n := spare{max(min(s.prompt(load.spec.Class, largest), s.affordable(t)), min(spreadOver, int(largest))), int(math.Ceil(replicas))}
+	n := spare{max(min(s.prompt(load.spec.Class, largest), s.affordable(t, v, now)), min(spreadOver, int(largest))), int(math.Ceil(replicas))}
 	if load.spec.Zone != "" {
 		s.add(v, n)
 		return
@@ -240,8 +241,13 @@
 }
 
 // affordable is how many machines of a type may be kept for prompt starts: those
-// that make up a small part of the fleet's CPUs.
-func (s *standby) affordable(t *protocol.MachineType) int {
+// that make up a small part of the fleet's CPUs, and none while the cloud has too
+// few for work that fits on no other type.
+func (s *standby) affordable(t *protocol.MachineType, v variant, now time.Duration) int {
+	refusedTo, refused := s.l.rent.refused[v]
+	if refused && now < refusedTo+contendedFor && s.l.rent.scarce(t.Name, now) {
+		return 0
+	}
 	return int(s.l.rent.cpus / standbyPart / math.Max(t.CPUs, 1))
 }
 
