A machine that was away gets starts with its first report

The cut zone's machines report 1 s after it ends, but get no starts until their next report, as nothing shows that answers reach them. A worker that gets no answer tries again within 5 s, so one that comes after a longer pause was away or has lost its connection. It gets starts, once until there is better proof.

--- a/internal/coordination/grown_test.go
+++ b/internal/coordination/grown_test.go
@@ -260,6 +260,57 @@
 	}
 }
 
+// A machine that was out of reach for longer than a worker waits for an answer gets
+// starts with its first report, on whatever connection; one that reports as a worker
+// does that gets no answers still gets none.
+func TestMachineThatWasAwayGetsStartsAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		pause  time.Duration
+		starts bool
+	}{{5 * time.Second, false}, {8 * time.Second, true}} {
+		w := newWorld(t, "a", "b", "c")
+		w.cloud.refuse = true
+		for _, name := range w.names {
+			tune := &w.nodes[name].core.tune // it is not returned for its pauses
+			tune.SilenceReports, tune.IdleReturn = 20, time.Hour
+		}
+		k, other := w.worker("vm-1", "z1"), w.worker("vm-2", "z2")
+		pause := func(d time.Duration) { // the leader hears of others meanwhile
+			for end := w.now + d; w.now < end; {
+				w.advance(time.Second)
+				other.report()
+			}
+		}
+		w.run(4 * time.Second)
+		n := w.leader()
+		k.reportTo(n)
+		pause(c.pause)
+		want(t, "submit", n.submit(form("wk-1", 2).with("hall", "z1")).Status, 201)
+		k.stays = nil // its connection is gone
+		k.reportTo(n)
+		want(t, fmt.Sprint("started after ", c.pause), w.total() > 0, c.starts)
+		k.reportTo(n)
+		want(t, "started by the next report", w.total(), 2)
+		k.finish("done")
+		for range 3 { // until its results are written and cleared
+			k.reportTo(n)
+			w.advance(time.Second)
+		}
+		k.deaf = true // it hears nothing, and pauses again: it gets nothing twice
+		sent := func() int { return len(n.core.leader.machines.get("vm-1").sent) }
+		k.stays = nil
+		pause(8 * time.Second)
+		want(t, "more", n.submit(form("wk-2", 2).with("hall", "z1")).Status, 201)
+		k.reportTo(n)
+		first := sent()
+		for range 2 { // the first shows that its starts are lost
+			pause(8 * time.Second)
+			k.reportTo(n)
+		}
+		want(t, fmt.Sprint("sent to one that hears nothing, away for ", c.pause), fmt.Sprint(first, " ", sent()), "2 0")
+	}
+}
+
 // A machine that hears again is served again.
 func TestMachineThatHearsAgain(t *testing.T) {
 	w := newWorld(t, "a")
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -48,6 +48,7 @@
 	currentAt    time.Duration // last report that carried this leader's token
 	conn         uint64        // the connection that the last answered report came on
 	reached      time.Duration // last report that showed that an answer had arrived
+	presumed     bool          // that one showed it only by how late it came
 	noticeAt     time.Duration // when the cloud takes it away; 0: no notice
 	tasks        []placed
 	sent         []placed // starts in the last answer, not yet listed
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -48,6 +48,9 @@
 	l.answers = append(l.answers, a)
 }
 
+// triesWithin is how soon a worker surely reports again that got no answer.
+const triesWithin = answerTime + 2*time.Second
+
 // note takes a report into the machine's record and passes it on. A report
 // without this leader's token may be a copy from long ago, or the first that a
 // worker sends here: it says only that the machine may be there. The worker's
@@ -67,6 +70,7 @@
 	if m.reported && r.Session > m.session {
 		l.emptied(m)
 	}
+	gap := now - m.heard
 	m.session, m.seq, m.reported, m.heard = r.Session, r.Seq, true, now
 	if r.Token != l.token {
 		if m.rentedAt != 0 {
@@ -76,11 +80,7 @@
 		l.passOn(m, false, false, now)
 		return false
 	}
-	// A worker that knows this leader's token for the first time, or has stayed
-	// on the connection of its last report, has had an answer.
-	if arrives = m.currentAt == 0 || (conn != 0 && conn == m.conn); arrives {
-		m.reached, l.reportAt = now, now
-	}
+	arrives = l.answersArrive(m, conn, gap, now)
 	m.currentAt = now
 	if r.Notice && m.noticeAt == 0 {
 		m.noticeAt = now + seconds(math.Max(0, r.NoticeS))
@@ -109,6 +109,25 @@
 	return arrives
 }
 
+// answersArrive tells whether a current report, that came a while after the one
+// before, shows that answers reach its worker.
+func (l *leader) answersArrive(m *machine, conn uint64, gap, now time.Duration) bool {
+	// A worker that knows this leader's token for the first time, or has stayed
+	// on the connection of its last report, has had an answer.
+	proven := m.currentAt == 0 || (conn != 0 && conn == m.conn)
+	// One that had none tries again sooner: one that comes later was away, or has
+	// lost its connection since. That holds once, until there is better proof.
+	if !proven && (gap <= triesWithin || m.presumed) {
+		return false
+	}
+	m.presumed = !proven
+	m.reached = now
+	if proven {
+		l.reportAt = now
+	}
+	return true
+}
+
 // emptied notes that a machine's session is over: whatever it listed or was
 // sent in it is gone. Nobody may be told of it any more: who takes a ledger up
 // anew would think that it counts, and that the replica does not (ran_twice).
