No fixed limit below 6,000 machines: list pages within the cloud's rate, queues and backlog sized for the fleet

Need: 4,000 machines are run and 6,000 planned for. Causes found: a machine list of more than six pages was asked for faster than the cloud answers (cloud.rps 3) and never read whole; machines that reported to a new leader later than 10 s after its election (report_s 8 and more) were taken for failed boots and returned with their tasks; relays, the queue of reports and the mesh backlog held fewer than 6,000 reports.

--- a/cmd/cobaltvale/serve.go
+++ b/cmd/cobaltvale/serve.go
@@ -22,6 +22,9 @@
 	clientQueue = 1024
 	meshSilence = 4 * time.Second
 	paceEvery   = 70 * time.Millisecond
+
+	memoryPartOfMesh = 8
+	leastBacklog     = 4 << 20
 )
 
 // steadyClock counts from the start of the process.
@@ -75,6 +78,14 @@
 	return max(leastConns, min(need, s.Limits.Sockets/partOfConns))
 }
 
+// meshBacklog is how many bytes may wait to be written to another controller: an
+// eighth of the memory is for all of them. What a leader tells an owner that joins,
+// or passes on when all workers report at once, grows with the fleet.
+func meshBacklog(file *settings.File) int {
+	share := file.Settings.Limits.MemMB * float64(1<<20) / memoryPartOfMesh
+	return max(leastBacklog, int(share)/max(1, len(file.Known)))
+}
+
 // serve wires the layers together and runs until one of them ends.
 func serve(file *settings.File, tune settings.Tuning, log zerolog.Logger, incarnation uint64, start time.Time) error {
 	loop := transport.NewLoop(paceEvery)
@@ -97,7 +108,7 @@
 		peers = append(peers, transport.MeshPeer{Member: p.Member, Addr: p.Address})
 	}
 	mesh := transport.NewMesh(transport.MeshConfig{Self: file.Member, Addr: file.MeshAddr,
-		Peers: peers, Silence: meshSilence}, loop, meshEvents{core, queue})
+		Peers: peers, Silence: meshSilence, MaxBacklog: meshBacklog(file)}, loop, meshEvents{core, queue})
 	sockets := file.Settings.Limits.Sockets
 	server := transport.NewServer(transport.ServerConfig{
 		Addr:        file.APIAddr,
@@ -116,11 +127,9 @@
 				reply(out)
 			})
 		}
-		if r.IsReport() {
-			queue.PostReport(handle)
-			return
+		if !queue.Offer(handle, r.IsReport()) {
+			reply(transport.Response{Status: 503, RetryAfterS: 1})
 		}
-		queue.Post(handle)
 	})
 	mesh.Start()
 	var ended error
--- a/internal/coordination/cloud_test.go
+++ b/internal/coordination/cloud_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
@@ -23,6 +25,10 @@
 	most     int                    // machines that one request fills; 0: all
 	returns  []int                  // names in each release
 	older    []cloudMachine         // listed instead, if not nil
+	rps      float64                // calls beyond it are answered 429; 0: none are
+	level    float64                // calls that it allows at present
+	filledAt time.Duration
+	limited  int // calls answered 429
 	n        int
 }
 
@@ -33,6 +39,11 @@
 
 func (c *fakeCloud) serve(_, method, path string, body []byte, done func(storage.Result)) {
 	answer := func(status int, v any) { done(storage.Result{Status: status, Body: c.w.codec.Encode(v)}) }
+	if !c.allows() {
+		c.limited++
+		answer(429, map[string]any{"error": "too many requests"})
+		return
+	}
 	switch {
 	case path == "/catalog":
 		answer(200, protocol.Catalog{Types: append([]protocol.MachineType{{Name: "m8", CPUs: 8, MemoryGB: 64, CacheGB: 50,
@@ -83,6 +94,15 @@
 		}
 		answer(200, map[string]any{})
 	default:
+		u, err := url.Parse(path)
+		if err != nil {
+			c.w.t.Fatal(err)
+		}
+		limit, err := strconv.Atoi(u.Query().Get("limit"))
+		if err != nil {
+			c.w.t.Fatal(err)
+		}
+		after := u.Query().Get("from")
 		out := protocol.MachineList{Machines: []protocol.ListedMachine{}}
 		listed := c.machines
 		if c.older != nil {
@@ -92,8 +112,29 @@
 			if c.w.now-m.at < 6*time.Second {
 				continue // lists lag
 			}
+			if m.name <= after {
+				continue
+			}
+			if len(out.Machines) == limit {
+				out.More = true
+				break
+			}
 			out.Machines = append(out.Machines, protocol.ListedMachine{ID: m.name, Type: "m8", Zone: m.zone, Status: m.status, AgeS: (c.w.now - m.at).Seconds()})
 		}
 		answer(200, out)
 	}
 }
+
+// allows is the cloud's limit of calls, with bursts of two seconds' worth.
+func (c *fakeCloud) allows() bool {
+	if c.rps == 0 {
+		return true
+	}
+	c.level = min(2*c.rps, c.level+c.rps*(c.w.now-c.filledAt).Seconds())
+	c.filledAt = c.w.now
+	if c.level < 1 {
+		return false
+	}
+	c.level--
+	return true
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
@@ -13,7 +12,6 @@
 	catalogLeading = 10 * time.Second
 	cloudTimeout   = 4 * time.Second
 	cloudRetry     = 1500 * time.Millisecond
-	listPage       = 500
 	leaderShare    = 0.75 // of the cloud's rate
 )
 
@@ -25,7 +23,7 @@
 	asking  bool
 	nextAsk time.Duration
 
-	listing  bool
+	listing  *machineListing // nil: none is under way
 	nextList time.Duration
 	listed   map[string]listedMachine
 	listedAt time.Duration // when the list that is held was asked for
@@ -84,34 +82,9 @@
 			}
 		})
 	}
-	if f.c.leader != nil && !f.listing && now >= f.nextList && f.allow(now) {
-		f.listing = true
-		f.list(f.c.leader, "", nil, now)
-	}
-}
-
-// list reads the machine list page by page.
-func (f *fleet) list(l *leader, from string, got []protocol.ListedMachine, began time.Duration) {
-	path := "/hosts?limit=" + strconv.Itoa(listPage)
-	if from != "" {
-		path += "&from=" + from
+	if f.c.leader != nil {
+		f.readList(f.c.leader, now)
 	}
-	f.c.env.Cloud.Call("GET", path, nil, cloudTimeout, func(r storage.Result) {
-		var page protocol.MachineList
-		if f.c.leader != l || r.Status != 200 || f.c.codec.Decode(r.Body, &page) != nil {
-			f.listing = false
-			f.nextList = f.c.now() + cloudRetry
-			return
-		}
-		got = append(got, page.Machines...)
-		if page.More && len(page.Machines) > 0 && len(got) < maxMachines {
-			f.list(l, page.Machines[len(page.Machines)-1].ID, got, began)
-			return
-		}
-		f.listing = false
-		f.nextList = f.c.now() + max(2*time.Second, seconds(f.c.cfg.Settings.Cloud.ListLagS/3))
-		f.take(l, got, began)
-	})
 }
 
 // take compares a whole list with what is known. Lists lag and may go back in
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -8,6 +8,9 @@
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 )
 
+// maxMachines bounds the machines that a controller knows: three times a fleet of
+// 6,000, as one that was returned is remembered for tombstoneFor and may have been
+// replaced twice meanwhile. More are refused at once.
 const maxMachines = 20000
 
 // taskKey names one copy of a task.
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -345,7 +345,7 @@
 	}
 	for l, jobs := range by {
 		for len(jobs) > 0 {
-			n := min(len(jobs), joinChunk)
+			n := firstChunk(jobs)
 			o.c.subscription.from.send(&meshpb.Frame{Body: &meshpb.Frame_Demand{Demand: &meshpb.Demand{Ledger: l.name, Jobs: jobs[:n]}}})
 			jobs = jobs[n:]
 		}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -13,27 +13,39 @@
 }
 
 const (
-	queueLength = 4096
-	batchLength = 256
-	tickEvery   = 100 * time.Millisecond
+	queueLength       = 4096
+	reportQueueLength = maxMachines // each machine has one report in flight
+	batchLength       = 256
+	tickEvery         = 100 * time.Millisecond
 )
 
 // NewQueue makes an empty queue.
 func NewQueue() *Queue {
-	return &Queue{commands: make(chan func(), queueLength), reports: make(chan func(), queueLength), stop: make(chan struct{})}
+	return &Queue{commands: make(chan func(), queueLength), reports: make(chan func(), reportQueueLength), stop: make(chan struct{})}
 }
 
 // Post adds a command. It waits while the queue is full, which holds back
 // the event loop that brings more.
-func (q *Queue) Post(fn func()) { q.post(q.commands, fn) }
-
-// PostReport adds a command that lets all others pass.
-func (q *Queue) PostReport(fn func()) { q.post(q.reports, fn) }
+func (q *Queue) Post(fn func()) {
+	select {
+	case q.commands <- fn:
+	case <-q.stop:
+	}
+}
 
-func (q *Queue) post(to chan func(), fn func()) {
+// Offer adds a command for a request, a worker's report or any other, unless the
+// queue is full: then the request is to be refused at once. Other commands pass
+// reports.
+func (q *Queue) Offer(fn func(), report bool) bool {
+	to := q.commands
+	if report {
+		to = q.reports
+	}
 	select {
 	case to <- fn:
-	case <-q.stop:
+		return true
+	default:
+		return false
 	}
 }
 
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -9,13 +9,13 @@
 
 const (
 	relayTimeout = 3500 * time.Millisecond // workers give up after 4 s
-	maxRelayed   = 4096
-	leaderBurden = 2.0              // what a report costs the leader, in reports of a relay
-	uneven       = 1.5              // times another's load, from which on workers are sent there
-	leastLoad    = 20.0             // reports a second that nobody minds
-	moveShare    = 0.1              // of the difference, each second
-	firstTry     = time.Second      // until another worker is sent to a member that takes no reports
-	lastTry      = 30 * time.Second // it doubles up to this
+	maxRelayed   = maxMachines             // each machine has one report in flight
+	leaderBurden = 2.0                     // what a report costs the leader, in reports of a relay
+	uneven       = 1.5                     // times another's load, from which on workers are sent there
+	leastLoad    = 20.0                    // reports a second that nobody minds
+	moveShare    = 0.1                     // of the difference, each second
+	firstTry     = time.Second             // until another worker is sent to a member that takes no reports
+	lastTry      = 30 * time.Second        // it doubles up to this
 )
 
 // relay takes reports on the leader's behalf and shares them out among the
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -275,6 +275,13 @@
 	return now - max(m.reached, r.l.actingAt) - r.l.c.silenceAfter()
 }
 
+// firstReportsTake is the time in which machines that are up have reported to a new
+// leader. With long report intervals it is more than a boot's grace: machines that
+// had not reported by then were taken for failed boots, and returned with their tasks.
+func (r *renting) firstReportsTake() time.Duration {
+	return max(bootGrace, seconds(reportVaries*r.l.c.cfg.Settings.Workers.ReportS)+triesAgain)
+}
+
 func (r *renting) unwanted(m *machine, now time.Duration) bool {
 	t := r.l.c.fleet.types[m.typ]
 	if r.l.vanished(m, now) {
@@ -282,7 +289,7 @@
 	}
 	if !m.reported {
 		// A boot that failed is charged until it is returned.
-		return t != nil && m.rentedAt != 0 && now-m.rentedAt > r.bootLimit(t) && now-r.l.since > bootGrace
+		return t != nil && m.rentedAt != 0 && now-m.rentedAt > r.bootLimit(t) && now-r.l.since > r.firstReportsTake()
 	}
 	if r.holdsEnded(m, now) {
 		return true
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -12,7 +12,7 @@
 	maxClearing = 300              // stops and forgets in one answer
 	toldEvery   = 10 * time.Second // an unchanged list is passed on whole again
 	tellChunk   = 250              // machines in one frame
-	maxListed   = 5000             // tasks in one frame, but for its last machine's
+	maxListed   = 5000             // tasks and images in one frame, but for its last machine's
 )
 
 func (l *leader) onReport(r *protocol.Report, conn uint64, now time.Duration, reply func(Response)) {
@@ -234,7 +234,7 @@
 	}
 	out.Reports = append(out.Reports, r)
 	// However long workers' lists are, a frame stays within its size.
-	if s.p.listed += len(r.Tasks); s.p.listed >= maxListed || len(out.Reports) >= tellChunk {
+	if s.p.listed += len(r.Tasks) + len(r.Images); s.p.listed >= maxListed || len(out.Reports) >= tellChunk {
 		s.p.flush()
 	}
 }
--- a/internal/coordination/subscription.go
+++ b/internal/coordination/subscription.go
@@ -12,6 +12,28 @@
 	orderChunk = 5000
 )
 
+// A frame may take a megabyte; job descriptions in one stay well below that, even
+// if each names as many machine types as it may.
+const (
+	demandFrameBytes = 512 << 10
+	demandBytes      = 256 // of a job's fields that have no names
+)
+
+// firstChunk is how many of the jobs go into one frame.
+func firstChunk(jobs []*meshpb.JobDemand) int {
+	size := 0
+	for i, d := range jobs {
+		size += demandBytes + len(d.Job) + len(d.Team) + len(d.Class) + len(d.Image) + len(d.Zone)
+		for _, t := range d.Types {
+			size += len(t)
+		}
+		if i == joinChunk || (i > 0 && size > demandFrameBytes) {
+			return i
+		}
+	}
+	return len(jobs)
+}
+
 // subscription is the owner's end of the leader's ordered stream of frames: what
 // this process may conclude from it. It lasts as long as its link and its leader's
 // token; a new one starts every clock anew.
@@ -144,7 +166,7 @@
 	}
 	l.joined = true
 	for {
-		n := min(len(jobs), joinChunk)
+		n := firstChunk(jobs)
 		s.from.send(&meshpb.Frame{Body: &meshpb.Frame_Join{Join: &meshpb.Join{
 			Ledger: l.name, Stamp: l.records.Stamp(), Token: s.token, Jobs: jobs[:n], More: n < len(jobs)}}})
 		jobs = jobs[n:]
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -11,10 +11,7 @@
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 )
 
-const (
-	maxFrame       = 1 << 20
-	maxMeshBacklog = 4 << 20
-)
+const maxFrame = 1 << 20
 
 // MeshLink is one connection to another member. Frames arrive in the order
 // in which they were sent, until the link is down; a new link is a new stream.
@@ -46,6 +43,9 @@
 	Addr    string
 	Peers   []MeshPeer
 	Silence time.Duration // a link that says nothing for so long is cut
+	// MaxBacklog is how many bytes may wait to be written on a link; one that
+	// can't keep up is closed.
+	MaxBacklog int
 }
 
 // Mesh keeps one link to each other member. The member whose name sorts
@@ -169,7 +169,7 @@
 	at := len(l.out)
 	out, err := proto.MarshalOptions{}.MarshalAppend(append(l.out, 0, 0, 0, 0), f)
 	n := len(out) - at - 4
-	if err == nil && n <= maxFrame && len(out) <= maxMeshBacklog {
+	if err == nil && n <= maxFrame && len(out) <= l.mesh.cfg.MaxBacklog {
 		binary.BigEndian.PutUint32(out[at:], uint32(n))
 		l.out = out
 		l.mu.Unlock()
@@ -189,7 +189,7 @@
 		return
 	}
 	err := c.AsyncWrite(out, func(c gnet.Conn, err error) error {
-		if err == nil && c.OutboundBuffered() > maxMeshBacklog {
+		if err == nil && c.OutboundBuffered() > l.mesh.cfg.MaxBacklog {
 			return c.Close()
 		}
 		return nil
