Package quota: team limits divided among the ledgers (escrow), off unless quota.escrow is set

Need: limits and guarantees have to hold across all controllers together; so far the leader's own count guarded them alone. Each ledger gets an allocation of each team's limit in one durable record a team; owners admit picks out of it, and release once a copy is proven gone, also of jobs that are over. The leader's count stays as it was.

--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cobaltvale/cobaltvale/internal/audit"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 	"github.com/cobaltvale/cobaltvale/internal/settings"
@@ -32,6 +33,7 @@
 	State storage.Caller
 	Cloud storage.Caller
 	Log   zerolog.Logger
+	Audit func(audit.Record) // takes records of admissions without waiting; nil: none are kept
 }
 
 // Request is one HTTP request to this node.
@@ -88,6 +90,7 @@
 	byLink  map[Link]*peer
 
 	owner        owner
+	admission    admission
 	users        users
 	leader       *leader // nil unless this process holds the leader key
 	subscription subscription
@@ -116,6 +119,7 @@
 	yielded     bool          // it has answered that
 	younger     bool          // its process surely started after this one did
 	stateOK     bool
+	quotaSeq    uint64 // of its last demands on this stream
 }
 
 // askUptime asks how long the peer's process has been up. Its age is judged by
@@ -207,6 +211,9 @@
 	}
 	c.self = &peer{member: cfg.Member, link: localLink{c}, stateOK: true}
 	c.owner.init(c)
+	if err := c.admission.init(c); err != nil {
+		return nil, err
+	}
 	c.users.init(c)
 	c.relay.init(c)
 	c.subscription.c = c
@@ -281,6 +288,7 @@
 		c.owner.flush()
 	}
 	c.owner.tick(now)
+	c.admission.tick(now)
 	c.users.tick(now)
 	c.relay.tick(now)
 	c.fleet.tick(now)
@@ -318,6 +326,7 @@
 	p.ups++
 	p.link, p.reports, p.checkins, p.answers = l, nil, nil, nil
 	p.asked, p.answered, p.yieldsWith, p.yielded, p.younger = 0, 0, 0, false, false
+	p.quotaSeq = 0
 	p.askUptime(c.now())
 	c.byLink[l] = p
 	c.subscription.join()
@@ -409,6 +418,8 @@
 		c.onCheckins(p, b.Checkins)
 	case *meshpb.Frame_CheckinAnswers:
 		c.relay.onAnswers(p, b.CheckinAnswers)
+	case *meshpb.Frame_QuotaDemands:
+		c.admission.onDemands(p, b.QuotaDemands)
 	case *meshpb.Frame_LeaseExtension:
 		c.session.onExtensionGrant(p, b.LeaseExtension)
 	}
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -55,6 +55,7 @@
 	stamp    uint64
 	joinedAt time.Duration
 	settled  bool
+	clean    bool // and its owner was told that nothing else is left of it, see settleClean
 	counted  bool // its unfinished jobs are known, from its owner or by reading
 	jobs     map[string]*leaderJob
 	arriving map[string]*meshpb.JobDemand
@@ -233,7 +234,7 @@
 			j.omitted = true
 		}
 	}
-	g.from, g.link, g.stamp, g.joinedAt, g.settled, g.counted = p, p.link, f.Stamp, now, false, true
+	g.from, g.link, g.stamp, g.joinedAt, g.settled, g.clean, g.counted = p, p.link, f.Stamp, now, false, false, true
 	for _, d := range g.arriving {
 		l.putJob(g, d)
 	}
@@ -288,47 +289,6 @@
 	}
 }
 
-// settle tells a new owner when no copy of its recovered tasks can be left
-// that it has not been told of.
-func (l *leader) settle(now time.Duration, span time.Duration) {
-	for _, g := range l.ledgers {
-		if g.from == nil || g.settled {
-			continue
-		}
-		ok := l.machinesKnown || now-g.joinedAt > span
-		for m := range l.machines.all {
-			if !ok {
-				break
-			}
-			ok = m.gone || m.record == "" || l.accounted(m, g) || now-max(m.heard, g.joinedAt) > span
-		}
-		if ok {
-			g.settled = true
-			g.from.send(&meshpb.Frame{Body: &meshpb.Frame_Settled{Settled: &meshpb.Settled{Ledger: g.name, Token: l.token}}})
-		}
-	}
-}
-
-// accounted tells whether a ledger's present owner has been told all that may
-// be on a machine: by a report since it joined, or by the last one before if
-// nothing of the ledger was sent to the machine after that. One that this leader
-// was the first to name, and that has not had its token, holds nothing: waited
-// for, the machines that come up all the time kept a ledger from being settled.
-func (l *leader) accounted(m *machine, g *leaderLedger) bool {
-	switch {
-	case m.currentAt == 0:
-		return !m.inherited
-	case m.currentAt > g.joinedAt:
-		return true
-	}
-	for i := range m.sent {
-		if m.sent[i].job.ledger == g {
-			return false
-		}
-	}
-	return true
-}
-
 // allows tells whether a job may run on a machine.
 func allows(s *meshpb.JobDemand, v variant) bool {
 	if (v.spot && !s.Spot) || (s.Zone != "" && s.Zone != v.zone) {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -32,20 +32,23 @@
 	dirty   bool
 	fresh   bool // its description has not been sent to the present leader
 	onFinal []func(status string)
+	told    int // waiting tasks that the leader was told of last
 }
 
 // ownedLedger is a ledger that this process holds.
 type ownedLedger struct {
-	name    string
-	records *storage.Ledger
-	ready   bool // recovered
-	joined  bool // the present leader counts it
-	jobs    map[string]*ownedJob
-	tries   uint64
-	before  uint64 // copies up to this number were given out by earlier holders
-	settled bool   // no copy of earlier holders is left that is not known of
-	stillUn int    // recovered tasks that may be anywhere
-	creates map[string]*creation
+	name     string
+	records  *storage.Ledger
+	ready    bool // recovered
+	joined   bool // the present leader counts it
+	jobs     map[string]*ownedJob
+	complete bool   // all of earlier holders is counted or proven gone
+	token    uint64 // the stamp that it was taken with
+	tries    uint64
+	before   uint64 // copies up to this number were given out by earlier holders
+	settled  bool   // no copy of earlier holders is left that is not known of
+	stillUn  int    // recovered tasks that may be anywhere
+	creates  map[string]*creation
 }
 
 type creation struct {
@@ -129,9 +132,11 @@
 		o.drop(name)
 	})
 	// Replica numbers go up from holder to holder, since stamps do.
+	l.token = stamp
 	l.tries = stamp << 20
 	l.before = l.tries
 	o.ledgers[name] = l
+	o.c.admission.open(l, stamp)
 	l.records.Recover(func(jobs []storage.RecoveredJob) {
 		for i := range jobs {
 			o.recovered(l, &jobs[i])
@@ -161,6 +166,7 @@
 			l.stillUn++
 		}
 	}
+	o.c.admission.count(j, j.nLoc)
 	j.nWait, j.queue = 0, nil
 }
 
@@ -189,6 +195,7 @@
 	}
 	l.records.Close()
 	delete(o.ledgers, name)
+	o.c.admission.close(name)
 	// Taken up again under the same leader, it has to join again.
 	delete(o.c.subscription.start, name)
 	for _, j := range l.jobs {
@@ -286,6 +293,7 @@
 // forget takes a finished job out of the tables. What is left of it on
 // machines is the leader's to clear.
 func (o *owner) forget(j *ownedJob) {
+	o.c.admission.jobEnded(j)
 	for i := range j.tasks {
 		switch j.tasks[i].place {
 		case unplaced:
@@ -306,9 +314,14 @@
 	}
 }
 
-// demand is what the leader has to know of a job.
-func (j *ownedJob) demand(spec bool) *meshpb.JobDemand {
-	d := &meshpb.JobDemand{Job: j.id, Waiting: uint32(j.startable()), Located: uint32(j.nLoc), Closed: j.final,
+// admissible is how many tasks may be started now, and find room in the allocation of
+// their team.
+func (o *owner) admissible(j *ownedJob) int { return min(j.startable(), o.c.admission.fits(j)) }
+
+// demandOf is what the leader has to know of a job.
+func (o *owner) demandOf(j *ownedJob, spec bool) *meshpb.JobDemand {
+	j.told = o.admissible(j)
+	d := &meshpb.JobDemand{Job: j.id, Waiting: uint32(j.told), Located: uint32(j.nLoc), Closed: j.final,
 		Ending: j.ending == protocol.StatusWithdrawn}
 	if !spec {
 		return d
@@ -335,7 +348,7 @@
 	for _, j := range o.changed {
 		j.dirty = false
 		if j.ledger.joined {
-			by[j.ledger] = append(by[j.ledger], j.demand(j.fresh))
+			by[j.ledger] = append(by[j.ledger], o.demandOf(j, j.fresh))
 			j.fresh = false
 		}
 	}
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -285,6 +285,7 @@
 		seen[it.Key] = true
 		s.see(it.Key, it.Value, it.Stamp, true)
 	}
+	s.c.admission.listed(items)
 	if !seen[storage.LeaderKey] {
 		s.see(storage.LeaderKey, nil, s.revision, false)
 	}
@@ -301,6 +302,10 @@
 		s.versions.see(member, value, present)
 		return
 	}
+	if team, ok := storage.TeamOfQuotaKey(key); ok {
+		s.c.admission.observe(team, value, stamp, present)
+		return
+	}
 	k := &s.leaderK
 	if key != storage.LeaderKey {
 		name, ok := storage.LedgerOfKey(key)
--- a/internal/coordination/subscription.go
+++ b/internal/coordination/subscription.go
@@ -74,6 +74,7 @@
 	for _, l := range s.c.owner.ledgers {
 		l.joined = false
 	}
+	s.c.admission.lingering.detach()
 }
 
 // machine returns what is known of a machine by this process's index.
@@ -161,7 +162,7 @@
 	s.start[l.name] = -1 // asked for
 	jobs := make([]*meshpb.JobDemand, 0, len(l.jobs))
 	for _, j := range l.jobs {
-		jobs = append(jobs, j.demand(true))
+		jobs = append(jobs, s.c.owner.demandOf(j, true))
 		j.fresh = false
 	}
 	l.joined = true
@@ -257,6 +258,7 @@
 			tasks += len(gone)
 		}
 	}
+	s.c.admission.lingering.leasesOver(b.ClockUs, span)
 	if machines > 0 { // hundreds may be lost together: one line for all
 		s.c.log.Info().Int("machines", machines).Int("tasks", tasks).Msg("machines lost, their leases are over")
 	}
@@ -271,7 +273,7 @@
 	}
 	s.sweepAt = now + time.Minute
 	for name, m := range s.c.owner.machines.byName {
-		if h := s.machine(m); !h.named && now-h.seen > tombstoneFor && len(s.c.owner.held[m]) == 0 {
+		if h := s.machine(m); !h.named && now-h.seen > tombstoneFor && len(s.c.owner.held[m]) == 0 && !s.c.admission.lingering.on(m) {
 			*h = subscribedMachine{}
 			s.c.owner.machines.release(name)
 		}
@@ -299,7 +301,12 @@
 		return
 	}
 	if l := s.c.owner.ledgers[st.Ledger]; l != nil {
-		s.c.owner.settled(l)
+		if !l.settled {
+			s.c.owner.settled(l)
+		}
+		if st.Clean {
+			s.c.admission.complete(l)
+		}
 	}
 }
 
@@ -325,7 +332,7 @@
 			continue
 		}
 		picks.Picks = append(picks.Picks, c.owner.pick(j, int(it.Count), m, s.zoneOf(m), f.Session, f.Seq)...)
-		picks.Jobs = append(picks.Jobs, j.demand(false))
+		picks.Jobs = append(picks.Jobs, c.owner.demandOf(j, false))
 	}
 	p.send(&meshpb.Frame{Body: &meshpb.Frame_Picks{Picks: picks}})
 }
--- a/internal/coordination/tasks.go
+++ b/internal/coordination/tasks.go
@@ -102,6 +102,7 @@
 	}
 	o.setRunning(j, i, false)
 	j.nLoc--
+	o.c.admission.release(j, i)
 	o.touch(j)
 }
 
@@ -136,12 +137,14 @@
 		t.place = unplaced
 		j.nLoc++
 		j.ledger.stillUn++
+		o.c.admission.count(j, 1)
 		return
 	}
 	o.requeue(j, i)
 }
 
 func (o *owner) machineGone(m int32) {
+	o.c.admission.lingering.machineGone(m)
 	refs := append([]taskRef(nil), o.held[m]...)
 	for _, r := range refs {
 		o.lost(r.job, r.task)
@@ -189,6 +192,7 @@
 			}
 		}
 	}
+	o.c.admission.lingering.reported(m, r)
 	refs := o.held[m]
 	for k := len(refs) - 1; k >= 0; k-- {
 		ref := refs[k]
@@ -266,6 +270,7 @@
 		}
 		t.attempt = attempt
 		j.ledger.tries = max(j.ledger.tries, attempt)
+		o.c.admission.found(j, i)
 	case inTransit, onMachine:
 		if attempt > t.attempt && (!s.exited() || s.why() == protocol.WhyDone) {
 			// Of a recovered task an older copy was heard of first. Earlier
@@ -375,7 +380,7 @@
 	if !j.ledger.joined {
 		return nil
 	}
-	n = min(n, j.startable())
+	n = min(n, o.admissible(j))
 	for len(picks) < n && len(j.queue) > 0 {
 		i := j.queue[0]
 		t := &j.tasks[i]
@@ -383,7 +388,7 @@
 			j.queue = j.queue[1:]
 			continue
 		}
-		if !j.zoneAllows(zone) {
+		if !j.zoneAllows(zone) || !o.c.admission.admit(j, i, j.ledger.tries+1) {
 			break
 		}
 		j.queue = j.queue[1:]
@@ -419,6 +424,7 @@
 	for _, p := range picks {
 		j := o.jobs[p.Job]
 		if j == nil || int(p.Task) >= len(j.tasks) {
+			o.c.admission.lingering.unplaced(p)
 			continue
 		}
 		if t := &j.tasks[p.Task]; t.place == inTransit && t.attempt == p.Attempt {
--- a/internal/coordination/versions.go
+++ b/internal/coordination/versions.go
@@ -54,6 +54,17 @@
 	return all
 }
 
+// divideLimits tells whether every member that has ever started divides limits among
+// the ledgers.
+func (v *versions) divideLimits() bool {
+	for name := range v.c.peers {
+		if records, known := v.records[name]; known && records < storage.RecordsQuota {
+			return false
+		}
+	}
+	return true
+}
+
 // awayFor is how long a member has been out of reach.
 func (v *versions) awayFor(member string, now time.Duration) time.Duration {
 	at, ok := v.away[member]
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -278,6 +278,10 @@
 	WriteShare     float64       // bookkeeping.write_share
 	IdleReturn     time.Duration // renting.idle_return
 	RequestTimeout time.Duration // state.request_timeout
+
+	QuotaEscrow           bool          // quota.escrow
+	QuotaTransferInterval time.Duration // quota.transfer_interval
+	QuotaAudit            string        // quota.audit: a directory; empty: no audit is kept
 }
 
 // DefaultTuning is what holds without a properties file.
@@ -290,6 +294,8 @@
 		WriteShare:     0.8,
 		IdleReturn:     30 * time.Second,
 		RequestTimeout: 1500 * time.Millisecond,
+
+		QuotaTransferInterval: 250 * time.Millisecond,
 	}
 }
 
@@ -318,6 +324,8 @@
 		"state.request_timeout": {&t.RequestTimeout, 100 * time.Millisecond, time.Minute},
 		"placement.offer_wait":  {&t.OfferWait, 10 * time.Millisecond, 2 * time.Second},
 		"renting.idle_return":   {&t.IdleReturn, 0, 24 * time.Hour},
+
+		"quota.transfer_interval": {&t.QuotaTransferInterval, 100 * time.Millisecond, 5 * time.Second},
 	}
 	numbers := map[string]struct {
 		to       *float64
@@ -346,9 +354,25 @@
 				return Tuning{}, fmt.Errorf("properties: %s must be a count from 1 to 500", key)
 			}
 			t.StartsPerReply = v
+		} else if key == "quota.escrow" {
+			v, err := strconv.ParseBool(value)
+			if err != nil {
+				return Tuning{}, fmt.Errorf("properties: %s must be true or false", key)
+			}
+			t.QuotaEscrow = v
+		} else if key == "quota.audit" {
+			t.QuotaAudit = value
 		} else {
 			return Tuning{}, fmt.Errorf("properties: unknown key %s", key)
 		}
 	}
-	return t, nil
+	return t, t.check()
+}
+
+// check tells which properties contradict each other.
+func (t *Tuning) check() error {
+	if t.QuotaAudit != "" && !t.QuotaEscrow {
+		return errors.New("properties: quota.audit has nothing to record without quota.escrow")
+	}
+	return nil
 }
--- a/internal/storage/ledger.go
+++ b/internal/storage/ledger.go
@@ -48,6 +48,10 @@
 // RecordsNow is what this version reads.
 const RecordsNow = 1
 
+// RecordsQuota is what a process writes in place of RecordsNow that also divides
+// teams' limits among the ledgers.
+const RecordsQuota = 2
+
 // MemberOfKey is the inverse of SelfKey.
 func MemberOfKey(key string) (string, bool) { return strings.CutPrefix(key, selfPrefix) }
 
