Audit of admissions: bounded, compressed, hash-chained streams, and cobaltvale audit verify

Need: a history of every admission and release that shows whether a limit was exceeded or a guarantee unmet, and whether any of it is missing. Replay merges by what each controller had seen of the state service, so clocks don't matter. Off unless quota.audit names a directory.

--- a/cmd/cobaltvale/main.go
+++ b/cmd/cobaltvale/main.go
@@ -2,12 +2,15 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,13 +26,16 @@
 }
 
 func run(args []string, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == "audit" {
+		return runAudit(args[1:], stdout, stderr)
+	}
 	flags := pflag.NewFlagSet("cobaltvale", pflag.ContinueOnError)
 	flags.SetOutput(stderr)
 	config := flags.String("config", "", "settings file of the platform (TOML)")
 	props := flags.String("properties", "", "operators' own settings (Java-style properties)")
 	check := flags.Bool("check", false, "check the settings and end")
 	flags.Usage = func() {
-		fmt.Fprint(stdout, "usage: cobaltvale --config FILE [--properties FILE] [--check]\n       cobaltvale version\n\n", flags.FlagUsages())
+		fmt.Fprint(stdout, "usage: cobaltvale --config FILE [--properties FILE] [--check]\n       cobaltvale audit verify FILE...\n       cobaltvale version\n\n", flags.FlagUsages())
 	}
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, pflag.ErrHelp) {
@@ -69,7 +75,13 @@
 	// The heap stays far below that, so collections can be rare.
 	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(file.Settings.Limits.MemMB * float64(1<<20) * 2 / 3))
-	if err := serve(file, tune, log, rand.Uint64(), time.Now()); err != nil {
+	ctx := context.Background()
+	if tune.QuotaAudit != "" { // so that the history ends with its last segment
+		var stop context.CancelFunc
+		ctx, stop = signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+		defer stop()
+	}
+	if err := serve(ctx, file, tune, log, rand.Uint64(), time.Now()); err != nil {
 		log.Error().Err(err).Msg("ending")
 		return 1
 	}
--- a/cmd/cobaltvale/main_test.go
+++ b/cmd/cobaltvale/main_test.go
@@ -28,6 +28,11 @@
 		{[]string{"--config", bad}, 2, "", "api_addr"},
 		{[]string{"--config", filepath.Join(dir, "none.toml")}, 2, "", "none.toml"},
 		{[]string{"--config", bad, "more"}, 2, "", "unexpected argument"},
+		{[]string{"audit"}, 2, "", "audit takes verify"},
+		{[]string{"audit", "verify"}, 2, "", "audit takes verify"},
+		{[]string{"audit", "verify", "--guarantee-wait", "x", bad}, 2, "", "guarantee-wait"},
+		{[]string{"audit", "verify", bad}, 2, "", "bad.toml: at byte 0: not an audit stream"},
+		{[]string{"audit", "verify", filepath.Join(dir, "none.audit")}, 2, "", "none.audit: at byte 0"},
 	} {
 		var out, errOut bytes.Buffer
 		code := run(c.args, &out, &errOut)
--- a/cmd/cobaltvale/serve.go
+++ b/cmd/cobaltvale/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"math"
 	"math/rand/v2"
@@ -22,6 +23,7 @@
 	clientQueue = 1024
 	meshSilence = 4 * time.Second
 	paceEvery   = 70 * time.Millisecond
+	stopTimeout = 5 * time.Second
 
 	memoryPartOfMesh = 8
 	leastBacklog     = 4 << 20
@@ -86,8 +88,13 @@
 	return max(leastBacklog, int(share)/max(1, len(file.Known)))
 }
 
-// serve wires the layers together and runs until one of them ends.
-func serve(file *settings.File, tune settings.Tuning, log zerolog.Logger, incarnation uint64, start time.Time) error {
+// serve wires the layers together and runs until one of them ends, or ctx does.
+func serve(ctx context.Context, file *settings.File, tune settings.Tuning, log zerolog.Logger, incarnation uint64, start time.Time) (err error) {
+	history, err := openAudit(file.Member, tune, log, incarnation, start)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, history.close()) }()
 	loop := transport.NewLoop(paceEvery)
 	toState := stateConns(file, tune)
 	queue := coordination.NewQueue()
@@ -99,6 +106,7 @@
 		State: caller{transport.NewHTTPClient(loop, file.External.State, toState, clientQueue), queue},
 		Cloud: caller{transport.NewHTTPClient(loop, file.External.Cloud, cloudConns, clientQueue), queue},
 		Log:   log,
+		Audit: history.take(),
 	}, incarnation)
 	if err != nil {
 		return err
@@ -137,6 +145,13 @@
 		ended = loop.Run(server, mesh)
 		queue.Stop()
 	}()
+	stop := context.AfterFunc(ctx, func() {
+		if err := loop.Stop(stopTimeout); err != nil {
+			log.Error().Err(err).Msg("stopping")
+			queue.Stop()
+		}
+	})
+	defer stop()
 	log.Info().Str("member", file.Member).Msg("started")
 	queue.Run(core, loop.Rest)
 	mesh.Stop()
--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,229 @@
+package audit
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/quota"
+)
+
+// memory is a sink in memory. While it is held nothing is written.
+type memory struct {
+	bytes.Buffer
+	hold chan struct{}
+	fail bool
+}
+
+func (m *memory) Write(b []byte) (int, error) {
+	if m.hold != nil {
+		<-m.hold
+	}
+	if m.fail {
+		return 0, errors.New("no space")
+	}
+	return m.Buffer.Write(b)
+}
+
+func (*memory) Close() error { return nil }
+
+func admission(job string, task uint32, after int64) Record {
+	size := quota.Need(2, 0)
+	return Record{Kind: Admitted, Ledger: "a", Token: 3, Team: "red", Revision: 5, Job: job, Task: task, Attempt: 1, Amount: size, TimeMs: 1000 + int64(task),
+		Before: quota.Need(float64(after)-2, 0), After: quota.Need(float64(after), 0), Allowed: quota.Need(8, 0), Limit: quota.Bound(8, 0), Guarantee: quota.Need(4, 0)}
+}
+
+func written(t *testing.T, records ...Record) []byte {
+	t.Helper()
+	sink := &memory{}
+	w, err := NewWriter(sink, Header{Member: "a", Process: "1", StartedMs: 1000}, func(err error) { t.Error(err) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range records {
+		w.Append(r)
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return sink.Bytes()
+}
+
+func stream(t *testing.T, records ...Record) *Stream {
+	t.Helper()
+	s, err := Read("a.audit", written(t, records...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestStreamIsReadAsWritten(t *testing.T) {
+	var records []Record
+	for i := range uint32(3 * recordsPerSegment) {
+		records = append(records, admission("wk-1", i, 2))
+	}
+	s := stream(t, records...)
+	if len(s.Records) != len(records) || !s.Ended || s.Dropped != 0 || s.Header.Member != "a" {
+		t.Fatalf("%d records, ended %v, dropped %d, header %+v", len(s.Records), s.Ended, s.Dropped, s.Header)
+	}
+	for i := range s.Records {
+		records[i].Seq = uint64(i + 1)
+		if s.Records[i] != records[i] {
+			t.Fatalf("record %d is %+v, want %+v", i, s.Records[i], records[i])
+		}
+	}
+}
+
+// Whatever is changed, cut off, left out or added shows, with file and offset.
+func TestDamagedStreams(t *testing.T) {
+	good := written(t, admission("wk-1", 0, 2), admission("wk-1", 1, 4))
+	for i := range good {
+		bad := bytes.Clone(good)
+		bad[i] ^= 0x10
+		if _, err := Read("x.audit", bad); err == nil {
+			t.Fatalf("byte %d was changed and nothing shows it", i)
+		}
+	}
+	for _, c := range []struct {
+		what string
+		b    []byte
+		says string
+	}{
+		{"empty", nil, "not an audit stream"},
+		{"foreign", []byte("hello, world, this is something else"), "not an audit stream"},
+		{"only the beginning", good[:len(magic)], "truncated"},
+		{"cut off in a segment", good[:len(good)-1], "truncated"},
+		{"more after the end", append(bytes.Clone(good), good[len(magic):]...), "more follows"},
+		{"a segment left out", append([]byte(magic), good[len(magic)+segmentLength(good, len(magic)):]...), "missing"},
+	} {
+		_, err := Read("x.audit", c.b)
+		var e *ReadError
+		if !errors.As(err, &e) || e.Name != "x.audit" || !strings.Contains(err.Error(), c.says) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: got %v, want one line with %q", c.what, err, c.says)
+		}
+	}
+}
+
+// segmentLength is the length of the segment that begins at a byte.
+func segmentLength(b []byte, at int) int {
+	return lengthBytes + hashBytes + (int(b[at])<<24 | int(b[at+1])<<16 | int(b[at+2])<<8 | int(b[at+3]))
+}
+
+// A sink that is slower than the records come makes nobody wait, and what was
+// dropped shows.
+func TestSlowSinkDropsAndSaysSo(t *testing.T) {
+	sink := &memory{}
+	w, err := NewWriter(sink, Header{Member: "a"}, func(err error) { t.Error(err) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	sink.hold = make(chan struct{})
+	for i := range uint32(4 * queueLength) {
+		w.Append(admission("wk-1", i, 2))
+	}
+	if w.Dropped() == 0 {
+		t.Fatal("nothing was dropped")
+	}
+	close(sink.hold)
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	s, err := Read("a.audit", sink.Bytes())
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantFindings(t, Verify([]*Stream{s}, time.Second), "records were dropped", "")
+}
+
+func TestSinkThatFails(t *testing.T) {
+	sink := &memory{}
+	failed := make(chan error, 1)
+	w, err := NewWriter(sink, Header{Member: "a"}, func(err error) { failed <- err })
+	if err != nil {
+		t.Fatal(err)
+	}
+	sink.fail = true
+	w.Append(admission("wk-1", 0, 2))
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-failed; !strings.Contains(err.Error(), "no space") {
+		t.Fatal(err)
+	}
+}
+
+// wantFindings looks for a text in a report's findings, or for none of a kind.
+func wantFindings(t *testing.T, r *Report, text string, kind FindingKind) {
+	t.Helper()
+	for _, f := range r.Findings {
+		if text != "" && strings.Contains(f.Text, text) && (kind == "" || f.Kind == kind) {
+			return
+		}
+	}
+	if text != "" || len(r.Findings) > 0 {
+		t.Errorf("findings %+v, want %s %q", r.Findings, kind, text)
+	}
+}
+
+func TestVerify(t *testing.T) {
+	release := func(r Record) Record {
+		r.Kind, r.Before, r.After = Released, r.After, r.Before
+		return r
+	}
+	at := func(r Record, revision uint64, ms int64) Record {
+		r.Revision, r.TimeMs = revision, ms
+		return r
+	}
+	of := func(r Record, ledger string, token uint64) Record {
+		r.Ledger, r.Token = ledger, token
+		return r
+	}
+	a0, a1 := admission("wk-1", 0, 2), admission("wk-1", 1, 4)
+	full := []Record{a0, a1, admission("wk-1", 2, 6), admission("wk-1", 3, 8)}
+	blocked := Record{Kind: Blocked, Ledger: "b", Token: 4, Team: "red", Revision: 5, TimeMs: 1100, Amount: quota.Need(2, 0), Limit: quota.Bound(8, 0), Guarantee: quota.Need(4, 0)}
+	later := func(ms int64) Record { return at(release(a0), 5, ms) }
+	counted := Record{Kind: Counted, Ledger: "a", Token: 9, Team: "red", Revision: 9, TimeMs: 2000, Job: "wk-1", Limit: quota.Bound(8, 0)}
+	found := at(of(a0, "a", 9), 9, 2100)
+	found.Kind, found.Before, found.After = Found, quota.Amount{}, quota.Amount{}
+	completed := Record{Kind: Completed, Ledger: "a", Token: 9, Team: "red", Revision: 9, TimeMs: 2200, Limit: quota.Bound(8, 0)}
+	for _, c := range []struct {
+		what    string
+		streams [][]Record
+		text    string
+		kind    FindingKind
+	}{
+		{"all is well", [][]Record{full}, "", ""},
+		{"over the limit", [][]Record{full, {of(admission("wk-2", 0, 2), "b", 4)}}, "is used in all", Overshoot},
+		{"beyond the allocation", [][]Record{{a0, admission("wk-1", 1, 9)}}, "of an allocation", Overshoot},
+		{"admitted twice", [][]Record{{a0}, {of(a0, "b", 4)}}, "is admitted at b while", Overshoot},
+		{"passed on by a new revision, though clocks differ", [][]Record{append(full[:4:4], at(release(full[3]), 5, 9000)), {at(of(admission("wk-2", 0, 2), "b", 4), 6, 500)}}, "", ""},
+		{"released, which nobody admitted", [][]Record{{release(a0)}}, "which nobody admitted", Gap},
+		{"found, which nobody admitted", [][]Record{{counted, found}}, "which nobody admitted", Gap},
+		{"taken over", [][]Record{full[:1], {counted, found, completed}}, "", ""},
+		{"spent does not go on where it ended", [][]Record{{a0, admission("wk-1", 1, 6)}}, "begins with", Gap},
+		{"kept from the guarantee", [][]Record{{a0, later(4000)}, {blocked}}, "of its guarantee", GuaranteeUnmet},
+		{"blocked for a moment", [][]Record{{a0, later(1500)}, {blocked}}, "", ""},
+		{"blocked beyond the guarantee", [][]Record{append(full[:3:3], at(release(full[2]), 5, 9000)), {blocked}}, "", ""},
+	} {
+		var streams []*Stream
+		for _, records := range c.streams {
+			streams = append(streams, stream(t, records...))
+		}
+		t.Log(c.what)
+		wantFindings(t, Verify(streams, 2*time.Second), c.text, c.kind)
+	}
+	s := stream(t, full...)
+	s.Records = append(s.Records[:1:1], s.Records[2:]...)
+	wantFindings(t, Verify([]*Stream{s}, time.Second), "record 3 follows where 2 is due", Gap)
+	s = stream(t, full...)
+	s.Ended = false
+	r := Verify([]*Stream{s}, time.Second)
+	wantFindings(t, r, "no last segment", Gap)
+	if got := fmt.Sprint(r.Teams[0].Highest, r.Teams[0].Admissions); got != "{8000 0} 4" {
+		t.Errorf("highest use and admissions: %s", got)
+	}
+}
--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -40,7 +40,7 @@
 	Ledger    string
 	Token     uint64 // the stamp that the ledger was taken with
 	Team      string
-	Revision  uint64 // of the team's record that the controller went by
+	Revision  uint64 // of the state service, up to which the controller surely knew what concerns it
 	Job       string
 	Task      uint32
 	Attempt   uint64
--- a/internal/audit/replay.go
+++ b/internal/audit/replay.go
@@ -16,10 +16,12 @@
 	told     map[FindingKind]int
 	running  map[copyKey]runningCopy
 	sum      quota.Amount
-	counted  map[holderKey]map[string]bool // jobs that a holder has read
-	spent    map[holderKey]quota.Amount    // as its last record says
-	blocked  map[holderKey]*blockedTime
-	lastMs   int64
+	// admissions holds the number of each task's latest copy that was admitted.
+	admissions map[copyKey]uint64
+	counted    map[holderKey]map[string]bool // jobs that a holder has read
+	spent      map[holderKey]quota.Amount    // as its last record says
+	blocked    map[holderKey]*blockedTime
+	lastMs     int64
 }
 
 // copyKey names a task: it has one copy at a time.
@@ -48,7 +50,7 @@
 }
 
 func newReplay(team string, patience time.Duration) *replay {
-	return &replay{team: team, patience: patience, use: TeamUse{Team: team}, told: make(map[FindingKind]int), running: make(map[copyKey]runningCopy),
+	return &replay{team: team, patience: patience, use: TeamUse{Team: team}, told: make(map[FindingKind]int), running: make(map[copyKey]runningCopy), admissions: make(map[copyKey]uint64),
 		counted: make(map[holderKey]map[string]bool), spent: make(map[holderKey]quota.Amount), blocked: make(map[holderKey]*blockedTime)}
 }
 
@@ -102,6 +104,7 @@
 		p.sum = p.sum.Minus(old.amount)
 	}
 	p.running[key] = runningCopy{holder.ledger, holder.token, e.Amount}
+	p.admissions[key] = e.Attempt
 	p.sum = p.sum.Plus(e.Amount)
 	if e.Kind == Admitted && !e.After.Within(e.Allowed) {
 		p.find(Overshoot, e, "%s spends %v of an allocation of %v", e.Ledger, e.After, e.Allowed)
@@ -140,7 +143,11 @@
 		p.running[key] = runningCopy{holder.ledger, holder.token, old.amount}
 		return
 	}
-	p.find(Gap, e, "%s/%d runs, which nobody admitted", e.Job, e.Task)
+	// A holder that does not know yet that it was replaced may have recorded the end
+	// of a copy that the next one still finds.
+	if attempt, ok := p.admissions[key]; !ok || attempt != e.Attempt {
+		p.find(Gap, e, "%s/%d runs, which nobody admitted", e.Job, e.Task)
+	}
 	p.running[key] = runningCopy{holder.ledger, holder.token, e.Amount}
 	p.sum = p.sum.Plus(e.Amount)
 	p.raise(e)
--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -194,6 +194,7 @@
 	}
 	r.TimeMs = a.c.env.Wall().UnixMilli()
 	r.Allowed, r.Limit, r.Revision = a.manager.Allocation(r.Ledger, r.Team)
+	r.Revision = max(r.Revision, r.Token) // what the holder before did was before the ledger was taken
 	r.Guarantee = a.guarantee[r.Team]
 	a.c.env.Audit(r)
 }
--- a/internal/coordination/admission_test.go
+++ b/internal/coordination/admission_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cobaltvale/cobaltvale/internal/audit"
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 	"github.com/cobaltvale/cobaltvale/internal/quota"
@@ -33,6 +34,14 @@
 }
 
 func divided(d *day) *day {
+	started := d.onStart
+	d.onStart = func(k *worker, wt *workerTask) {
+		started(k, wt)
+		id, _, _ := strings.Cut(wt.name, "/")
+		if d.forms[id]["crew"] == "red" {
+			d.redStarts++
+		}
+	}
 	d.onTick = func() {
 		d.check()
 		d.checkAllocations()
@@ -145,6 +154,7 @@
 				d.takesAll(3 * time.Second)
 				d.play(40, script(d))
 				d.end()
+				d.checkHistory()
 				if len(d.told) < d.n/3 || d.started < 30 {
 					t.Fatalf("%d of %d jobs were accepted, %d tasks started", len(d.told), d.n, d.started)
 				}
@@ -153,6 +163,21 @@
 	}
 }
 
+// checkHistory replays what all processes have recorded. In troubles guarantees may
+// have to wait; limits hold all the same, and nothing is missing.
+func (d *day) checkHistory() {
+	d.t.Helper()
+	report := audit.Verify(d.history, 5*time.Second)
+	for _, f := range report.Findings {
+		if f.Kind != audit.GuaranteeUnmet {
+			d.t.Errorf("%s of %s: %s", f.Kind, f.Team, f.Text)
+		}
+	}
+	if len(report.Teams) != 1 || report.Teams[0].Admissions < d.redStarts {
+		d.t.Errorf("machines have started %d tasks, the history shows %+v", d.redStarts, report.Teams)
+	}
+}
+
 // isTransfer tells whether a transaction changes a team's record.
 func isTransfer(t *protocol.Txn) bool {
 	return len(t.Then) > 0 && strings.HasPrefix(t.Then[0].Put, storage.QuotaPrefix)
@@ -315,7 +340,9 @@
 	for seed := range uint64(16) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			troublesTogether(escrowDay(t, 100+seed, 8))
+			d := escrowDay(t, 100+seed, 8)
+			troublesTogether(d)
+			d.checkHistory()
 		})
 	}
 }
--- a/internal/coordination/day_test.go
+++ b/internal/coordination/day_test.go
@@ -17,18 +17,19 @@
 // zones are the worker's.
 type day struct {
 	*world
-	rand     *rand.Rand
-	forms    map[string]jobForm
-	told     map[string]string // the newest that any node has told of a job
-	toldAt   map[string]time.Duration
-	aborted  map[string]bool // its user has asked to cancel it
-	complete map[string]bool // tasks that ended well
-	repeated []repeatedQuestion
-	late     []lateCall
-	n        int                      // jobs
-	started  int                      // tasks
-	answers  map[string]time.Duration // when a question about a job was last answered
-	dies     bool                     // the next node that confirms a cancellation ends as it does
+	rand      *rand.Rand
+	forms     map[string]jobForm
+	told      map[string]string // the newest that any node has told of a job
+	toldAt    map[string]time.Duration
+	aborted   map[string]bool // its user has asked to cancel it
+	complete  map[string]bool // tasks that ended well
+	repeated  []repeatedQuestion
+	late      []lateCall
+	n         int                      // jobs
+	started   int                      // tasks
+	redStarts int                      // of the team red, see divided
+	answers   map[string]time.Duration // when a question about a job was last answered
+	dies      bool                     // the next node that confirms a cancellation ends as it does
 }
 
 // repeatedQuestion is a question that is put to every node for a while.
--- a/internal/coordination/tasks.go
+++ b/internal/coordination/tasks.go
@@ -281,7 +281,9 @@
 		}
 		t.attempt = attempt
 		j.ledger.tries = max(j.ledger.tries, attempt)
-		o.c.admission.found(j, i)
+		if !s.exited() {
+			o.c.admission.found(j, i)
+		}
 	case inTransit, onMachine:
 		if attempt > t.attempt && (!s.exited() || s.why() == protocol.WhyDone) {
 			// Of a recovered task an older copy was heard of first. Earlier
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -30,7 +30,7 @@
 	before  map[string]bool      // members that run the version before, see production
 	next    string               // settings.state.next, which only this version knows
 	adjust  func(*settings.File) // the settings of each process, as it starts; nil: as in testSettings
-	audit   func(audit.Record)   // nil: none is kept
+	history []*audit.Stream      // what each process has recorded of admissions
 	tune    settings.Tuning      // the operators' settings
 	started map[string][]*worker // by task: where copies of it were ever started
 	runs    uint64
@@ -162,11 +162,16 @@
 		tune.QuotaEscrow = false
 	}
 	w.runs++
+	stream := &audit.Stream{Name: fmt.Sprint(name, "-", w.runs), Ended: true}
+	w.history = append(w.history, stream)
 	core, err := New(file, tune, Env{
 		Clock: w, Wall: func() time.Time { return time.Unix(1e9, 0).Add(w.now) },
 		Rand:  rand.New(rand.NewPCG(1, w.runs)),
 		State: &fakeCaller{w: w, n: n, run: w.runs, serve: w.state.serve}, Cloud: &fakeCaller{w: w, n: n, run: w.runs, serve: w.cloud.serve},
-		Log: zerolog.Nop(), Audit: w.audit,
+		Log: zerolog.Nop(), Audit: func(r audit.Record) {
+			r.Seq = uint64(len(stream.Records) + 1)
+			stream.Records = append(stream.Records, r)
+		},
 	}, w.runs)
 	if err != nil {
 		w.t.Fatal(err)
--- a/internal/quota/manager.go
+++ b/internal/quota/manager.go
@@ -68,8 +68,8 @@
 	// its turn; usable is since when the allocation has had room for one.
 	since, usable time.Duration
 	waits, fits   bool
-	admitted      bool // since the last Want
-	ceiling *Amount // while other ledgers lack their part; nil: none
+	admitted      bool    // since the last Want
+	ceiling       *Amount // while other ledgers lack their part; nil: none
 }
 
 // New makes a manager that has read nothing yet.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -305,7 +305,14 @@
 	if err != nil {
 		return Tuning{}, fmt.Errorf("reading properties: %w", err)
 	}
-	return ParseTuning(string(b))
+	t, err := ParseTuning(string(b))
+	if err != nil || t.QuotaAudit == "" {
+		return t, err
+	}
+	if info, err := os.Stat(t.QuotaAudit); err != nil || !info.IsDir() {
+		return Tuning{}, errors.New("properties: quota.audit is not a directory")
+	}
+	return t, nil
 }
 
 // ParseTuning reads properties over the defaults. A key that is not known is
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -91,7 +93,15 @@
 	if got != want {
 		t.Fatalf("got %+v, want %+v", got, want)
 	}
-	for _, bad := range []string{"state.leese = 8s", "state.lease = 8", "state.lease = 1ms", "loss.silence_reports = many", "placement.starts_per_reply = 0"} {
+	got, err = ParseTuning("quota.escrow = true\nquota.transfer_interval = 1s\nquota.audit = /var/audit\n")
+	if err != nil || !got.QuotaEscrow || got.QuotaTransferInterval != time.Second || got.QuotaAudit != "/var/audit" {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	if DefaultTuning().QuotaEscrow {
+		t.Error("limits are divided without being asked for")
+	}
+	for _, bad := range []string{"quota.escrow = perhaps", "quota.transfer_interval = -1s", "quota.transfer_interval = 1ms", "quota.audit = /var/audit", "quota.escro = true",
+		"state.leese = 8s", "state.lease = 8", "state.lease = 1ms", "loss.silence_reports = many", "placement.starts_per_reply = 0"} {
 		key, _, _ := strings.Cut(bad, " ")
 		if _, err := ParseTuning(bad); err == nil || !strings.Contains(err.Error(), key) {
 			t.Errorf("%s: error %v does not name the key", bad, err)
@@ -99,6 +109,16 @@
 	}
 }
 
+func TestAuditNeedsADirectory(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "p.properties")
+	if err := os.WriteFile(name, []byte("quota.escrow = true\nquota.audit = "+name+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := LoadTuning(name); err == nil || !strings.Contains(err.Error(), "quota.audit") {
+		t.Errorf("got %v, want an error that names quota.audit", err)
+	}
+}
+
 // From the first write the smaller of both limits holds; what next lacks, or
 // raises, changes nothing.
 func TestNextLimits(t *testing.T) {
