--- /dev/null
+++ b/cmd/cobaltvale/quota_loopback_test.go
@@ -0,0 +1,228 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cobaltvale/cobaltvale/internal/audit"
+	"github.com/cobaltvale/cobaltvale/internal/quota"
+	"github.com/cobaltvale/cobaltvale/internal/settings"
+	"github.com/cobaltvale/cobaltvale/internal/standin"
+)
+
+// loopbackLimit is how long a test of real processes' parts may take.
+const loopbackLimit = 3 * time.Minute
+
+// loopback is three controllers with their real transport in this process, and the
+// stand-ins around them.
+type loopback struct {
+	*standin.Deployment
+	t     *testing.T
+	ctx   context.Context
+	dir   string
+	stops map[string]func()
+}
+
+func newLoopback(t *testing.T, machines int, teams []standin.Team) *loopback {
+	t.Helper()
+	d, err := standin.NewDeployment(machines, teams)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), loopbackLimit)
+	t.Cleanup(cancel)
+	l := &loopback{Deployment: d, t: t, ctx: ctx, dir: t.TempDir(), stops: make(map[string]func())}
+	for _, m := range d.Members {
+		l.start(m)
+	}
+	t.Cleanup(l.stopAll)
+	l.wait("every controller is ready", func() bool {
+		for _, m := range d.Members {
+			if !d.Ready(ctx, m) {
+				return false
+			}
+		}
+		return true
+	})
+	d.StartWorkers()
+	return l
+}
+
+func (l *loopback) wait(what string, holds func() bool) {
+	l.t.Helper()
+	if err := standin.WaitFor(l.ctx, what, holds); err != nil {
+		l.t.Fatal(err)
+	}
+}
+
+// start runs a controller until it is stopped.
+func (l *loopback) start(member string) {
+	l.t.Helper()
+	file, err := settings.Parse([]byte(l.Settings(member)))
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	tune := settings.DefaultTuning()
+	tune.QuotaEscrow, tune.QuotaAudit = true, l.dir
+	ctx, cancel := context.WithCancel(l.ctx)
+	done := make(chan error, 1)
+	go func() { done <- serve(ctx, file, tune, zerolog.Nop(), rand.Uint64(), time.Now()) }()
+	var once sync.Once
+	l.stops[member] = func() {
+		once.Do(func() {
+			cancel()
+			if err := <-done; err != nil {
+				l.t.Errorf("%s: %v", member, err)
+			}
+		})
+	}
+}
+
+func (l *loopback) stopAll() {
+	for _, stop := range l.stops {
+		stop()
+	}
+}
+
+// submitAll hands jobs in at all controllers at the same time.
+func (l *loopback) submitAll(jobs []*standin.Job) {
+	l.t.Helper()
+	const atOnce = 150 // users at each controller
+	var users sync.WaitGroup
+	for i, m := range l.Members {
+		work := make(chan *standin.Job)
+		go func() {
+			defer close(work)
+			for k := i; k < len(jobs); k += len(l.Members) {
+				work <- jobs[k]
+			}
+		}()
+		for range atOnce {
+			users.Add(1)
+			go func() {
+				defer users.Done()
+				for j := range work {
+					if err := l.Submit(l.ctx, m, j); err != nil {
+						l.t.Error(err)
+					}
+				}
+			}()
+		}
+	}
+	users.Wait()
+}
+
+// files names the histories of all processes.
+func (l *loopback) files() []string {
+	names, err := filepath.Glob(filepath.Join(l.dir, "*.audit"))
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	return names
+}
+
+func loopbackJobs(n int, teams []standin.Team) ([]*standin.Job, map[string]int) {
+	tasks := make(map[string]int)
+	var jobs []*standin.Job
+	for i := range n {
+		team := teams[[]int{0, 1, 0, 1, 0, 2}[i%6]].Name
+		j := &standin.Job{ID: fmt.Sprintf("wk-%06d", i), Team: team, Tasks: 1 + i%7/6, CPUs: float64(1 + i%2), Runs: 600 * time.Millisecond}
+		jobs = append(jobs, j)
+		tasks[team] += j.Tasks
+	}
+	return jobs, tasks
+}
+
+// Thousands of submissions at the same time to three controllers, for teams near
+// their limits: the machines never see a team above its limit, and the audit of the
+// controllers, which knows nothing of the machines, finds no overshoot, no unmet
+// guarantee and no gap.
+func TestLimitsHoldOnLoopback(t *testing.T) {
+	teams := []standin.Team{{Name: "north", Guarantee: 60, Limit: 120}, {Name: "south", Guarantee: 40, Limit: 80}, {Name: "west", Limit: 40}}
+	l := newLoopback(t, 40, teams)
+	jobs, tasks := loopbackJobs(2400, teams)
+	l.submitAll(jobs)
+	l.wait("tasks run", func() bool { return l.History.Summary().Started["south"] >= 200 })
+	l.stops["c"]() // its ledger is taken up by another, and goes back
+	l.start("c")
+	l.wait("every job is done", func() bool {
+		for team, n := range l.History.Summary().Started {
+			if n < tasks[team] {
+				return false
+			}
+		}
+		for i := range 30 { // the last of each, at another controller than its own
+			j := jobs[len(jobs)-1-i]
+			if l.Status(l.ctx, l.Members[i%3], j.ID) != "done" {
+				return false
+			}
+		}
+		return true
+	})
+	l.stopAll()
+	seen := l.History.Summary()
+	for _, p := range seen.Problems {
+		t.Error(p)
+	}
+	var out, errs bytes.Buffer
+	if code := run(append([]string{"audit", "verify"}, l.files()...), &out, &errs); code != auditClean {
+		t.Fatalf("audit verify ends with %d: %s%s", code, out.String(), errs.String())
+	}
+	t.Log(out.String())
+	for _, team := range teams {
+		if high := seen.Highest[team.Name]; high < team.Limit*0.9 {
+			t.Errorf("team %s used %v CPUs at the most, its limit of %v was not tried", team.Name, high, team.Limit)
+		}
+	}
+	l.seesABrokenQuota()
+}
+
+// seesABrokenQuota replays the same histories against lower limits, as if the
+// controllers had got them wrong: then the audit must find it.
+func (l *loopback) seesABrokenQuota() {
+	l.t.Helper()
+	var streams []*audit.Stream
+	for _, name := range l.files() {
+		s, err := audit.ReadFile(name)
+		if err != nil {
+			l.t.Fatal(err)
+		}
+		for i := range s.Records {
+			if s.Records[i].Team == "south" {
+				s.Records[i].Limit = quota.Bound(60, 0)
+			}
+		}
+		streams = append(streams, s)
+	}
+	found := false
+	for _, f := range audit.Verify(streams, defaultGuaranteeWait).Findings {
+		found = found || (f.Kind == audit.Overshoot && f.Team == "south")
+	}
+	if !found {
+		l.t.Error("south used 80 of 60 CPUs, and the audit finds nothing")
+	}
+}
+
+// A history that is cut short ends the command with a line that names file and place.
+func TestAuditOfATruncatedFile(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "a.audit")
+	if err := os.WriteFile(name, []byte("CVAUDIT1\x00\x00"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errs bytes.Buffer
+	if code := run([]string{"audit", "verify", name}, &out, &errs); code != auditUnreadable || strings.Count(errs.String(), "\n") != 1 ||
+		!strings.Contains(errs.String(), name+": at byte 8: truncated") {
+		t.Errorf("status %d, %q", code, errs.String())
+	}
+}
--- a/cmd/cobaltvale/serve.go
+++ b/cmd/cobaltvale/serve.go
@@ -117,10 +117,32 @@
 	}
 	mesh := transport.NewMesh(transport.MeshConfig{Self: file.Member, Addr: file.MeshAddr,
 		Peers: peers, Silence: meshSilence, MaxBacklog: meshBacklog(file)}, loop, meshEvents{core, queue})
+	server := newServer(file, loop, queue, core, clock, toState)
+	mesh.Start()
+	var ended error
+	go func() {
+		ended = loop.Run(server, mesh)
+		queue.Stop()
+	}()
+	stop := context.AfterFunc(ctx, func() {
+		if err := loop.Stop(stopTimeout); err != nil {
+			log.Error().Err(err).Msg("stopping")
+			queue.Stop()
+		}
+	})
+	defer stop()
+	log.Info().Str("member", file.Member).Msg("started")
+	queue.Run(core, loop.Rest)
+	mesh.Stop()
+	return ended
+}
+
+// newServer serves users, workers and health checks.
+func newServer(file *settings.File, loop *transport.Loop, queue *coordination.Queue, core *coordination.Core, clock steadyClock, toState int) *transport.Server {
 	sockets := file.Settings.Limits.Sockets
-	server := transport.NewServer(transport.ServerConfig{
+	return transport.NewServer(transport.ServerConfig{
 		Addr:        file.APIAddr,
-		MaxConns:    sockets - toState - cloudConns - 4*len(peers) - min(32, sockets/4),
+		MaxConns:    sockets - toState - cloudConns - 4*len(file.Known) - min(32, sockets/4),
 		MaxHeld:     int64(file.Settings.Limits.MemMB*float64(1<<20)) / 4,
 		IdleTimeout: 2 * time.Minute,
 		ReadTimeout: 15 * time.Second,
@@ -130,7 +152,7 @@
 			core.HandleHTTP(r, func(r coordination.Response) {
 				out := transport.Response{Status: r.Status, Body: r.Body, RetryAfterS: r.RetryAfterS}
 				if r.Until > 0 {
-					out.Until = start.Add(r.Until)
+					out.Until = clock.start.Add(r.Until)
 				}
 				reply(out)
 			})
@@ -139,21 +161,4 @@
 			reply(transport.Response{Status: 503, RetryAfterS: 1})
 		}
 	})
-	mesh.Start()
-	var ended error
-	go func() {
-		ended = loop.Run(server, mesh)
-		queue.Stop()
-	}()
-	stop := context.AfterFunc(ctx, func() {
-		if err := loop.Stop(stopTimeout); err != nil {
-			log.Error().Err(err).Msg("stopping")
-			queue.Stop()
-		}
-	})
-	defer stop()
-	log.Info().Str("member", file.Member).Msg("started")
-	queue.Run(core, loop.Rest)
-	mesh.Stop()
-	return ended
 }
--- a/internal/coordination/admission_test.go
+++ b/internal/coordination/admission_test.go
@@ -553,3 +553,31 @@
 		t.Fatalf("got %v, want one line that says so", err)
 	}
 }
+
+// With both checks broken, the allocations and the leader's count, the audit finds
+// that the limit was exceeded.
+func TestAuditFindsABrokenQuota(t *testing.T) {
+	w := escrowWorld(t)
+	for i := range 10 {
+		w.worker(fmt.Sprintf("vm-%d", i), "z1")
+	}
+	for _, n := range w.nodes {
+		n.core.cfg.Settings.Teams[0].CPUsMax = 1000 // the leader's count, not the manager's limit
+		for name := range n.core.peers {
+			n.core.session.versions.records[name] = storage.RecordsNow
+		}
+	}
+	w.run(2 * time.Second)
+	for i, n := range w.names {
+		want(t, "submit", w.nodes[n].submit(form(fmt.Sprintf("wk-%d", i), 12).with("crew", "red")).Status, 201)
+	}
+	w.run(8 * time.Second)
+	if w.redUse() <= redLimit {
+		t.Fatalf("red uses %v CPUs, the quota is not broken", w.redUse())
+	}
+	found := false
+	for _, f := range audit.Verify(w.history, time.Second).Findings {
+		found = found || (f.Kind == audit.Overshoot && f.Team == "red")
+	}
+	want(t, "the audit finds it", found, true)
+}
--- /dev/null
+++ b/internal/standin/deployment.go
@@ -0,0 +1,168 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+)
+
+const (
+	machineType = "m8"
+	machineCPUs = 8
+	zone        = "z1"
+	reportS     = 0.6
+	leaseS      = 8.0
+)
+
+// Team is a team of a deployment, in CPUs.
+type Team struct {
+	Name             string
+	Guarantee, Limit float64
+}
+
+// Deployment is what surrounds three controllers on loopback.
+type Deployment struct {
+	Members []string
+	State   *State
+	History *History
+
+	codec    *protocol.Codec
+	teams    []Team
+	api      map[string]string // addresses by member
+	mesh     map[string]string
+	outside  map[string]string // of the state service and the cloud
+	servers  []*http.Server
+	client   *http.Client
+	machines int
+	cancel   context.CancelFunc
+	workers  sync.WaitGroup
+}
+
+// NewDeployment serves a state service and a cloud that has a number of machines.
+func NewDeployment(machines int, teams []Team) (*Deployment, error) {
+	codec, err := protocol.NewCodec()
+	if err != nil {
+		return nil, err
+	}
+	limits := make(map[string]float64)
+	for _, t := range teams {
+		limits[t.Name] = t.Limit
+	}
+	d := &Deployment{Members: []string{"a", "b", "c"}, State: NewState(codec), History: NewHistory(limits), codec: codec, teams: teams,
+		api: make(map[string]string), mesh: make(map[string]string), outside: make(map[string]string), machines: machines,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}, Timeout: 5 * time.Second}}
+	for _, m := range d.Members {
+		if d.api[m], err = freeAddress(); err != nil {
+			return nil, err
+		}
+		if d.mesh[m], err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	for name, h := range map[string]http.Handler{"state": d.State, "cloud": http.HandlerFunc(d.cloud)} {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("standin: %w", err)
+		}
+		d.outside[name] = ln.Addr().String()
+		server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+		d.servers = append(d.servers, server)
+		go func() { _ = server.Serve(ln) }() // it returns when the deployment is closed
+	}
+	return d, nil
+}
+
+func freeAddress() (string, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("standin: %w", err)
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// Settings is the settings file of a member.
+func (d *Deployment) Settings(member string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "member = %q\nsite = %q\napi_addr = %q\nmesh_addr = %q\n", member, zone, d.api[member], d.mesh[member])
+	for _, m := range d.Members {
+		if m != member {
+			fmt.Fprintf(&b, "[[known]]\nmember = %q\nsite = %q\naddress = %q\n", m, zone, d.mesh[m])
+		}
+	}
+	fmt.Fprintf(&b, "[external]\ncloud = %q\nstate = %q\n[settings]\nzones = [%q]\nclock_off_ms = 1.0\n", d.outside["cloud"], d.outside["state"], zone)
+	for _, t := range d.teams {
+		fmt.Fprintf(&b, "[[settings.teams]]\nname = %q\ncpus = %v\ncpus_max = %v\n", t.Name, t.Guarantee, t.Limit)
+	}
+	fmt.Fprintf(&b, "[settings.workers]\nreport_s = %v\nlease_s = %v\ncancel_s = 20.0\n", reportS, leaseS)
+	b.WriteString("[settings.state]\nrps = 3000.0\nwrite_rps = 1500.0\nvalue_kb = 8.0\ntxn_ops = 32\n")
+	b.WriteString("[settings.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n[settings.limits]\ncores = 1.0\nmem_mb = 512.0\nsockets = 4000\n")
+	return b.String()
+}
+
+// StartWorkers has all machines report.
+func (d *Deployment) StartWorkers() {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	for i := range d.machines {
+		// A machine stays on one connection: that shows that answers reach it.
+		own := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+		k := &worker{codec: d.codec, client: own, history: d.History, name: machineName(i), nodes: d.api, order: d.Members, at: i,
+			every: time.Duration(reportS * float64(time.Second)), tasks: make(map[string]*workerTask)}
+		d.workers.Add(1)
+		go func() {
+			defer d.workers.Done()
+			k.run(ctx)
+		}()
+	}
+}
+
+func machineName(i int) string { return fmt.Sprintf("vm-%06d", i) }
+
+// Close ends the workers and the servers.
+func (d *Deployment) Close() {
+	if d.cancel != nil {
+		d.cancel()
+		d.workers.Wait()
+	}
+	d.State.Close()
+	for _, s := range d.servers {
+		_ = s.Close() // whatever it still serves ends with the deployment
+	}
+}
+
+// cloud has one type of machine, all of which are rented already.
+func (d *Deployment) cloud(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/catalog":
+		reply(w, d.codec, 200, protocol.Catalog{Types: []protocol.MachineType{{Name: machineType, CPUs: machineCPUs, MemoryGB: 64, CacheGB: 50,
+			FetchRate: 10, Price: 1, SpotPrice: 0.3, BootS: 30, Zones: []string{zone}}}})
+	case r.URL.Path == "/hosts/release":
+		reply(w, d.codec, 503, protocol.ErrorBody{Error: "trouble"}) // nothing is returned
+	case r.Method == http.MethodPost:
+		reply(w, d.codec, 503, protocol.ErrorBody{Error: "no capacity"})
+	default:
+		d.listMachines(w, r)
+	}
+}
+
+func (d *Deployment) listMachines(w http.ResponseWriter, r *http.Request) {
+	const page = 500
+	out := protocol.MachineList{Machines: []protocol.ListedMachine{}}
+	for i := range d.machines {
+		if name := machineName(i); name > r.URL.Query().Get("from") {
+			if len(out.Machines) == page {
+				out.More = true
+				break
+			}
+			out.Machines = append(out.Machines, protocol.ListedMachine{ID: name, Addr: "127.0.0.1:1", Type: machineType, Zone: zone, Status: "running", AgeS: 1000})
+		}
+	}
+	reply(w, d.codec, 200, out)
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,317 @@
+// Package standin has small stand-ins for what surrounds the controllers, served on
+// loopback: a state service, a cloud with a fixed fleet, workers and users. Tests and
+// measuring tools run real controllers against them.
+package standin
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+)
+
+const (
+	maxBody    = 1 << 20
+	sweepEvery = 50 * time.Millisecond
+)
+
+// State is a state service in memory, without limits of its own.
+type State struct {
+	codec *protocol.Codec
+	stop  chan struct{}
+
+	mu       sync.Mutex
+	revision uint64
+	keys     map[string]*stateKey
+	leases   map[uint64]*stateLease
+	events   []stateEvent
+	changed  chan struct{} // closed at the next change
+	puts     map[string]int
+	requests int
+}
+
+type stateKey struct {
+	value []byte
+	stamp uint64
+	lease uint64
+}
+
+type stateLease struct {
+	ttl, left time.Duration
+	renewed   time.Time
+}
+
+type stateEvent struct {
+	key   string
+	value []byte // nil: it was dropped
+	stamp uint64
+}
+
+// NewState makes an empty state service.
+func NewState(codec *protocol.Codec) *State {
+	s := &State{codec: codec, stop: make(chan struct{}), keys: make(map[string]*stateKey), leases: make(map[uint64]*stateLease),
+		changed: make(chan struct{}), puts: make(map[string]int)}
+	go s.sweep()
+	return s
+}
+
+// Close ends the leases' clock and all watches.
+func (s *State) Close() { close(s.stop) }
+
+// Changes is how many changes keys with a prefix have had, and how many requests
+// there were in all.
+func (s *State) Changes(prefix string) (changes, requests int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, n := range s.puts {
+		if strings.HasPrefix(key, prefix) {
+			changes += n
+		}
+	}
+	return changes, s.requests
+}
+
+// sweep ends leases that were not renewed.
+func (s *State) sweep() {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case now := <-ticker.C:
+			s.mu.Lock()
+			for id, l := range s.leases {
+				if now.Sub(l.renewed) > l.ttl {
+					s.endLease(id)
+				}
+			}
+			s.mu.Unlock()
+		}
+	}
+}
+
+func (s *State) endLease(id uint64) {
+	delete(s.leases, id)
+	s.revision++
+	for key, k := range s.keys {
+		if k.lease == id {
+			s.drop(key)
+		}
+	}
+	s.wake()
+}
+
+func (s *State) drop(key string) {
+	delete(s.keys, key)
+	s.puts[key]++
+	s.events = append(s.events, stateEvent{key: key, stamp: s.revision})
+}
+
+func (s *State) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.requests++
+	s.mu.Unlock()
+	path := r.URL.Path
+	switch {
+	case path == "/watch":
+		s.watch(w, r)
+	case path == "/multi":
+		var t protocol.Txn
+		if s.codec.Decode(body, &t) != nil {
+			reply(w, s.codec, 400, protocol.ErrorBody{Error: "malformed"})
+			return
+		}
+		s.txn(w, &t)
+	case path == "/leases":
+		var q protocol.LeaseRequest
+		if s.codec.Decode(body, &q) != nil {
+			reply(w, s.codec, 400, protocol.ErrorBody{Error: "malformed"})
+			return
+		}
+		s.open(w, time.Duration(q.TTLMs)*time.Millisecond)
+	case strings.HasPrefix(path, "/leases/"):
+		s.touch(w, path)
+	case path == "/kv":
+		s.list(w, r)
+	default:
+		s.get(w, strings.TrimPrefix(path, "/kv/"))
+	}
+}
+
+func reply(w http.ResponseWriter, codec *protocol.Codec, status int, v any) {
+	w.WriteHeader(status)
+	// A client that has gone away is not told.
+	_, _ = w.Write(codec.Encode(v))
+}
+
+func (s *State) open(w http.ResponseWriter, ttl time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.leases[s.revision] = &stateLease{ttl: ttl, renewed: time.Now()}
+	reply(w, s.codec, 200, protocol.LeaseAnswer{Lease: s.revision})
+}
+
+func (s *State) touch(w http.ResponseWriter, path string) {
+	id, err := strconv.ParseUint(strings.Split(path, "/")[2], 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if err != nil || l == nil {
+		reply(w, s.codec, 404, protocol.ErrorBody{Error: "no such lease"})
+		return
+	}
+	l.renewed = time.Now()
+	reply(w, s.codec, 200, protocol.ErrorBody{})
+}
+
+func (s *State) get(w http.ResponseWriter, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.keys[key]
+	if k == nil {
+		reply(w, s.codec, 404, protocol.TxnAnswer{Revision: s.revision})
+		return
+	}
+	reply(w, s.codec, 200, protocol.Pair{Key: key, Value: k.value, Stamp: k.stamp, Lease: k.lease})
+}
+
+func (s *State) list(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil {
+		limit = 1000
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for key := range s.keys {
+		if strings.HasPrefix(key, q.Get("under")) && key > q.Get("from") {
+			names = append(names, key)
+		}
+	}
+	slices.Sort(names)
+	out := protocol.Pairs{Items: []protocol.Pair{}, Revision: s.revision, More: len(names) > limit}
+	for _, key := range names[:min(limit, len(names))] {
+		k := s.keys[key]
+		out.Items = append(out.Items, protocol.Pair{Key: key, Value: k.value, Stamp: k.stamp, Lease: k.lease})
+	}
+	reply(w, s.codec, 200, out)
+}
+
+func (s *State) txn(w http.ResponseWriter, t *protocol.Txn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range t.Then {
+		if c.Put != "" && c.Lease != 0 && s.leases[c.Lease] == nil {
+			reply(w, s.codec, 400, protocol.ErrorBody{Error: "no such lease"})
+			return
+		}
+	}
+	var failed []string
+	for _, c := range t.If {
+		stamp := uint64(0)
+		if k := s.keys[c.Key]; k != nil {
+			stamp = k.stamp
+		}
+		if stamp != c.Stamp {
+			failed = append(failed, c.Key)
+		}
+	}
+	if len(failed) > 0 {
+		reply(w, s.codec, 409, protocol.TxnAnswer{Failed: failed, Revision: s.revision})
+		return
+	}
+	if len(t.Then) > 0 {
+		s.revision++
+		for _, c := range t.Then {
+			s.change(&c)
+		}
+		s.wake()
+	}
+	reply(w, s.codec, 200, protocol.TxnAnswer{Revision: s.revision})
+}
+
+func (s *State) change(c *protocol.Change) {
+	if c.Put == "" {
+		if s.keys[c.Delete] != nil {
+			s.drop(c.Delete)
+		}
+		return
+	}
+	value := slices.Clone([]byte(c.Value))
+	s.keys[c.Put] = &stateKey{value: value, stamp: s.revision, lease: c.Lease}
+	s.puts[c.Put]++
+	s.events = append(s.events, stateEvent{key: c.Put, value: value, stamp: s.revision})
+}
+
+// watch answers once something under a prefix has changed after a revision.
+func (s *State) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, err := strconv.ParseUint(q.Get("from"), 10, 64)
+	hold, herr := strconv.Atoi(q.Get("holdMs"))
+	if err != nil || herr != nil {
+		reply(w, s.codec, 400, protocol.ErrorBody{Error: "malformed"})
+		return
+	}
+	timeout := time.NewTimer(time.Duration(hold) * time.Millisecond)
+	defer timeout.Stop()
+	for over := false; ; {
+		s.mu.Lock()
+		out := protocol.Events{Revision: s.revision, Events: s.since(q.Get("under"), from)}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(out.Events) > 0 || over {
+			reply(w, s.codec, 200, out)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		case <-s.stop:
+			return
+		}
+	}
+}
+
+func (s *State) since(prefix string, from uint64) []protocol.Event {
+	out := []protocol.Event{}
+	first, _ := slices.BinarySearchFunc(s.events, from+1, func(e stateEvent, stamp uint64) int {
+		if e.stamp < stamp {
+			return -1
+		}
+		return 1
+	})
+	for _, e := range s.events[first:] {
+		switch {
+		case !strings.HasPrefix(e.key, prefix):
+		case e.value != nil:
+			out = append(out, protocol.Event{Put: e.key, Value: e.value, Stamp: e.stamp})
+		default:
+			out = append(out, protocol.Event{Delete: e.key, Stamp: e.stamp, Value: []byte{nullCBOR}})
+		}
+	}
+	return out
+}
+
+// nullCBOR is null: an empty value would not encode.
+const nullCBOR = 0xf6
