--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -213,7 +213,7 @@
 	if a.manager == nil {
 		return
 	}
-	a.manager.Rely(a.c.session.versions.divideLimits())
+	a.rely(a.c.session.versions.divideLimits())
 	a.read(now)
 	if now >= a.wantAt {
 		a.wantAt = now + wantInterval
@@ -224,6 +224,14 @@
 	a.transfer(now)
 }
 
+// rely has admission go by allocations while every member divides limits.
+func (a *admission) rely(all bool) {
+	if all != a.manager.Relied() {
+		a.c.log.Info().Bool("binding", all).Msg("allocations of team limits")
+	}
+	a.manager.Rely(all)
+}
+
 // want tells the manager what waits, and the leader what has changed of that.
 func (a *admission) want(now time.Duration) {
 	type waiting struct{ all, least quota.Amount }
