Connections that come in all at once are let in at once

Change: the loop doesn't rest while connections come in. The allocation's room is looked at in every tick now, and tests of limits share their setup.

--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -13,7 +13,6 @@
 
 const (
 	maxTeamsPerTransfer = 8
-	wantInterval        = 200 * time.Millisecond // between looks at what waits
 	demandInterval      = 400 * time.Millisecond // between frames that tell others what is lacking
 	quotaReadRetry      = 300 * time.Millisecond
 	dropLogInterval     = 10 * time.Second
@@ -32,7 +31,6 @@
 	reading   bool          // the records are being read
 	unread    bool          // they have to be read (again) before anything is planned
 	readAt    time.Duration // not before
-	wantAt    time.Duration
 	demandAt  time.Duration
 	demandSeq uint64
 	blocked   map[accountName]bool // told to the audit
@@ -215,10 +213,7 @@
 	}
 	a.rely(a.c.session.versions.divideLimits())
 	a.read(now)
-	if now >= a.wantAt {
-		a.wantAt = now + wantInterval
-		a.want(now)
-	}
+	a.want(now)
 	a.manager.Balance(now)
 	a.tellDemands(now)
 	a.transfer(now)
--- a/internal/coordination/admission_test.go
+++ b/internal/coordination/admission_test.go
@@ -120,6 +120,23 @@
 	}
 }
 
+// machinesUp has machines of one zone report from now on.
+func (w *world) machinesUp(n int) {
+	for i := range n {
+		w.worker(fmt.Sprintf("vm-%d", i), "z1")
+	}
+}
+
+// redEverywhere hands a job of red in at each controller.
+func (w *world) redEverywhere(tasks int) {
+	w.t.Helper()
+	for i, n := range w.names {
+		if got := w.nodes[n].submit(form(fmt.Sprintf("wk-%d", i), tasks).with("crew", "red")).Status; got != 201 {
+			w.t.Fatalf("submission at %s is answered %d", n, got)
+		}
+	}
+}
+
 // redUse is what red's live tasks on machines use.
 func (w *world) redUse() float64 {
 	return float64(w.total()) * 2
@@ -351,9 +368,7 @@
 // other the next that frees.
 func TestLastRoomIsGrantedOnce(t *testing.T) {
 	w := escrowWorld(t)
-	for i := range 6 {
-		w.worker(fmt.Sprintf("vm-%d", i), "z1")
-	}
+	w.machinesUp(6)
 	w.run(2 * time.Second)
 	want(t, "submit", w.nodes["a"].submit(form("wk-1", 15).with("crew", "red")).Status, 201)
 	w.run(8 * time.Second)
@@ -376,9 +391,7 @@
 // controller, while another team would take all room.
 func TestGuaranteeFollowsDemand(t *testing.T) {
 	w := escrowWorld(t)
-	for i := range 4 {
-		w.worker(fmt.Sprintf("vm-%d", i), "z1")
-	}
+	w.machinesUp(4)
 	w.run(2 * time.Second)
 	want(t, "submit", w.nodes["a"].submit(form("wk-1", 16).with("crew", "red")).Status, 201)
 	w.run(8 * time.Second)
@@ -396,13 +409,9 @@
 // together at one, which has the time to use it; then allocations stay as they are.
 func TestRemainderDoesNotWander(t *testing.T) {
 	w := escrowWorld(t)
-	for i := range 8 {
-		w.worker(fmt.Sprintf("vm-%d", i), "z1")
-	}
+	w.machinesUp(8)
 	w.run(8 * time.Second)
-	for i, n := range w.names {
-		want(t, "submit", w.nodes[n].submit(form(fmt.Sprintf("wk-%d", i), 12).with("crew", "red")).Status, 201)
-	}
+	w.redEverywhere(12)
 	w.run(6 * time.Second)
 	want(t, "running at the limit", w.total(), 16)
 	writes := w.state.txns
@@ -416,13 +425,9 @@
 // lost meanwhile: nothing is stopped, and nothing starts until use is below it.
 func TestLimitLoweredWhileRunning(t *testing.T) {
 	w := escrowWorld(t)
-	for i := range 6 {
-		w.worker(fmt.Sprintf("vm-%d", i), "z1")
-	}
+	w.machinesUp(6)
 	w.run(2 * time.Second)
-	for i, n := range w.names {
-		want(t, "submit", w.nodes[n].submit(form(fmt.Sprintf("wk-%d", i), 30).with("crew", "red")).Status, 201)
-	}
+	w.redEverywhere(30)
 	w.run(8 * time.Second)
 	want(t, "running", w.total(), 16)
 	w.adjust = func(f *settings.File) { f.Settings.Teams[0].CPUsMax = 16 }
@@ -470,13 +475,9 @@
 	w := prepareWorld(t, "", []string{"b"}, "a", "b", "c")
 	w.tune.QuotaEscrow = true
 	w.startAll()
-	for i := range 8 {
-		w.worker(fmt.Sprintf("vm-%d", i), "z1")
-	}
+	w.machinesUp(8)
 	w.run(2 * time.Second)
-	for i, n := range w.names {
-		want(t, "submit", w.nodes[n].submit(form(fmt.Sprintf("wk-%d", i), 30).with("crew", "red")).Status, 201)
-	}
+	w.redEverywhere(30)
 	w.run(8 * time.Second)
 	want(t, "running beside the version before", w.total(), 16)
 	want(t, "shares", len(w.quotaRecord("red").Shares), 0)
@@ -509,9 +510,7 @@
 // nothing, and a record that can't be read keeps its team waiting, and no other.
 func TestSenselessQuotaMessages(t *testing.T) {
 	w := escrowWorld(t)
-	for i := range 2 {
-		w.worker(fmt.Sprintf("vm-%d", i), "z1")
-	}
+	w.machinesUp(2)
 	w.run(4 * time.Second)
 	c := w.nodes["a"].core
 	p := c.peers["b"]
@@ -558,9 +557,7 @@
 // that the limit was exceeded.
 func TestAuditFindsABrokenQuota(t *testing.T) {
 	w := escrowWorld(t)
-	for i := range 10 {
-		w.worker(fmt.Sprintf("vm-%d", i), "z1")
-	}
+	w.machinesUp(10)
 	for _, n := range w.nodes {
 		n.core.cfg.Settings.Teams[0].CPUsMax = 1000 // the leader's count, not the manager's limit
 		for name := range n.core.peers {
@@ -568,9 +565,7 @@
 		}
 	}
 	w.run(2 * time.Second)
-	for i, n := range w.names {
-		want(t, "submit", w.nodes[n].submit(form(fmt.Sprintf("wk-%d", i), 12).with("crew", "red")).Status, 201)
-	}
+	w.redEverywhere(12)
 	w.run(8 * time.Second)
 	if w.redUse() <= redLimit {
 		t.Fatalf("red uses %v CPUs, the quota is not broken", w.redUse())
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -49,6 +49,7 @@
 	enrol    sync.Mutex
 	turn     time.Time // when it last began to take what had arrived
 	taken    time.Time // when it last took something
+	accepted time.Time // when a connection last came in
 	busy     bool      // it had little rest before that
 	el       gnet.EventLoop
 }
@@ -142,6 +143,7 @@
 			continue
 		}
 		if t := s.accept(c); t != nil {
+			l.accepted = time.Now()
 			c.SetContext(t)
 			return nil, gnet.None
 		}
@@ -169,10 +171,12 @@
 	return action
 }
 
-// gather lets more arrive before the loop takes what has.
+// gather lets more arrive before the loop takes what has. While connections come in
+// it does not: gnet accepts one at each waking up, so that thousands of workers that
+// came back at once were let in at fourteen a second.
 func (l *Loop) gather() {
 	now := time.Now()
-	if now.Sub(l.taken) < sameBatch {
+	if now.Sub(l.taken) < sameBatch || now.Sub(l.accepted) < sameBatch {
 		return
 	}
 	l.busy = now.Sub(l.turn) < 2*l.pace
@@ -197,7 +201,7 @@
 func (l *Loop) Rest() { l.run(l.rest) }
 
 func (l *Loop) rest() {
-	if l.busy {
+	if l.busy && !l.accepted.After(l.turn) {
 		l.nap(time.Now())
 	}
 }
--- a/internal/transport/loopback_test.go
+++ b/internal/transport/loopback_test.go
@@ -228,3 +228,44 @@
 		t.Fatal("the new link does not carry frames")
 	}
 }
+
+// Connections that come in all at once are let in at once, each with its request,
+// although the loop rests whenever all that it took has been dealt with.
+func TestConnectionsAllAtOnce(t *testing.T) {
+	const clients, within = 800, 8 * time.Second // at one in each turn it took 17 s
+	addr, l := freeAddr(t), NewLoop(70*time.Millisecond)
+	runLoop(t, l, NewServer(ServerConfig{Addr: addr, MaxConns: 2 * clients, MaxHeld: 1 << 20, IdleTimeout: time.Minute, ReadTimeout: time.Minute}, l,
+		func(_ *Request, reply func(Response)) {
+			go func() {
+				reply(Response{Status: 200})
+				l.Rest()
+			}()
+		}))
+	began := time.Now()
+	answered := make(chan error, clients)
+	for range clients {
+		go func() { answered <- askOnce(addr) }()
+	}
+	for range clients {
+		if err := <-answered; err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(began); took > within {
+		t.Errorf("%d connections were served in %s", clients, took)
+	}
+}
+
+// askOnce opens a connection and waits for the answer to one request.
+func askOnce(addr string) error {
+	c, err := net.Dial("tcp4", addr)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if _, err := c.Write([]byte("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")); err != nil {
+		return err
+	}
+	_, err = c.Read(make([]byte, 64))
+	return err
+}
