--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -42,8 +42,8 @@
 }
 
 type stateLease struct {
-	ttl, left time.Duration
-	renewed   time.Time
+	ttl     time.Duration
+	renewed time.Time
 }
 
 type stateEvent struct {
