--- a/internal/coordination/state_test.go
+++ b/internal/coordination/state_test.go
@@ -39,6 +39,7 @@
 	watches       []*stateWatch
 	away          map[string]bool // members that get 503; "" is all of them
 	hidden        string          // a prefix whose listings get 503
+	hiddenFrom    string          // the member that gets it; "" is all of them
 	silentWatches map[string]bool // members whose watches tell nothing
 	// onTxn may take a transaction over: it returns true to swallow it, and
 	// may apply it later.
@@ -136,7 +137,7 @@
 		l.end = s.w.now + l.ttl
 		s.answer(done, 200, map[string]any{})
 	case u.Path == "/kv":
-		s.list(u.Query(), done)
+		s.list(from, u.Query(), done)
 	case u.Path == "/watch":
 		since, err := strconv.ParseUint(u.Query().Get("from"), 10, 64)
 		if err != nil {
@@ -157,8 +158,8 @@
 	}
 }
 
-func (s *fakeState) list(q url.Values, done func(storage.Result)) {
-	if s.hidden != "" && strings.HasPrefix(q.Get("under"), s.hidden) {
+func (s *fakeState) list(from string, q url.Values, done func(storage.Result)) {
+	if s.hidden != "" && (s.hiddenFrom == "" || s.hiddenFrom == from) && strings.HasPrefix(q.Get("under"), s.hidden) {
 		s.answer(done, 503, map[string]any{"error": "trouble"})
 		return
 	}
