Absence from a machine's list is proof only if the list is complete for the ledger

Cause of the incident: the leader left out of the lists that it passes on every task whose job it did not know when the machine reported, or whose ledger had not joined yet, and an owner that recovered its ledger, or lived on, took the list for all that the machine holds: a conclusion from partial knowledge.

Change: the leader leaves out only what another member has joined for, and each list names the ledgers that it is complete for (Report.complete_for, numbers from Joined). The owner concludes from a list that lacks a copy in one place, subscription.absence, and only for those ledgers; its kind of result says what is proven. A leader of a version that does not say so is believed only for machines that have reported since the ledger joined, also when it calls a ledger settled. Why copies were judged gone is counted, one line a minute.

--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -50,7 +50,8 @@
 // leaderLedger is a ledger and the member that answers for it now.
 type leaderLedger struct {
 	name     string
-	from     *peer // nil while nobody has joined for it
+	number   uint32 // in the lists that are passed on, from 1
+	from     *peer  // nil while nobody has joined for it; see setHolder
 	link     Link
 	stamp    uint64
 	joinedAt time.Duration
@@ -211,8 +212,7 @@
 	}
 	g := l.ledgers[f.Ledger]
 	if g == nil {
-		g = &leaderLedger{name: f.Ledger, jobs: make(map[string]*leaderJob)}
-		l.ledgers[f.Ledger] = g
+		g = l.addLedger(f.Ledger)
 	}
 	if f.Stamp < g.stamp {
 		return
@@ -234,13 +234,15 @@
 			j.omitted = true
 		}
 	}
-	g.from, g.link, g.stamp, g.joinedAt, g.settled, g.clean, g.counted = p, p.link, f.Stamp, now, false, false, true
+	l.setHolder(g, p)
+	g.stamp, g.joinedAt, g.settled, g.clean, g.counted = f.Stamp, now, false, false, true
 	for _, d := range g.arriving {
 		l.putJob(g, d)
 	}
 	g.arriving = nil
 	l.demand.stale = true
-	p.send(&meshpb.Frame{Body: &meshpb.Frame_Joined{Joined: &meshpb.Joined{Ledger: f.Ledger, Token: l.token, ClockUs: now.Microseconds()}}})
+	p.send(&meshpb.Frame{Body: &meshpb.Frame_Joined{Joined: &meshpb.Joined{
+		Ledger: f.Ledger, Token: l.token, ClockUs: now.Microseconds(), Number: g.number}}})
 	l.tellAll(p)
 }
 
@@ -262,7 +264,8 @@
 			continue
 		}
 		l.cancelOffers(g)
-		g.from, g.link, g.arriving = nil, nil, nil
+		l.setHolder(g, nil)
+		g.arriving = nil
 		for _, j := range g.jobs {
 			j.located += j.waiting
 			j.waiting = 0
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -37,16 +37,9 @@
 	images        imageTable
 }
 
-// listener is a member that ledgers have joined for, and thus one that reports
-// are passed on to.
-type listener struct {
-	p      *peer
-	stream uint64 // changes whenever it has to be told everything anew
-}
-
-// slices is in how many parts the work that concerns all machines is done: one
+// tickParts is in how many parts the work that concerns all machines is done: one
 // a tick, all of them in a second.
-const slices = int(time.Second / tickEvery)
+const tickParts = int(time.Second / tickEvery)
 
 func (c *Core) becomeLeader(token uint64) {
 	now := c.now()
@@ -61,7 +54,7 @@
 		l.teams[t.Name] = &teamState{cfg: t}
 	}
 	for name := range c.session.ledgers {
-		l.ledgers[name] = &leaderLedger{name: name, jobs: make(map[string]*leaderJob)}
+		l.addLedger(name)
 	}
 	l.rent.init(l)
 	l.forecast.l = l
@@ -109,7 +102,7 @@
 		// Reports are refused meanwhile, so silence means nothing.
 		l.actingAt, l.reportAt = now, now
 	}
-	l.machines.slice(slices, func(m *machine) { l.countUnaccounted(m, now) })
+	l.machines.slice(tickParts, func(m *machine) { l.countUnaccounted(m, now) })
 	l.recordMachines(now)
 	if now < l.nextSlow {
 		return
--- a/internal/coordination/lingering.go
+++ b/internal/coordination/lingering.go
@@ -116,7 +116,6 @@
 	if !g.on(m) {
 		return
 	}
-	whole := r.Current && !r.Same
 	live := make(map[taskKey]bool, len(r.Tasks))
 	for _, s := range r.Tasks {
 		if protocol.TaskState(s.State) != protocol.TaskExited {
@@ -132,10 +131,12 @@
 		case live[taskKey{k.job, k.task, k.attempt}]:
 			k.inTransit = false
 			return false
-		case k.inTransit:
-			return r.Seq > k.seq
 		}
-		return whole
+		proof := g.a.c.subscription.absence(m, r, k.ledger)
+		if k.inTransit {
+			return proof != absenceProvesNothing && r.Seq > k.seq
+		}
+		return proof == absenceProvesEnd
 	})
 }
 
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -39,16 +39,19 @@
 type ownedLedger struct {
 	name     string
 	records  *storage.Ledger
-	ready    bool // recovered
-	joined   bool // the present leader counts it
+	ready    bool   // recovered
+	joined   bool   // the present leader counts it
+	number   uint32 // in the present leader's lists, see Report.complete_for; 0: it gave none
 	jobs     map[string]*ownedJob
 	complete bool   // all of earlier holders is counted or proven gone
 	token    uint64 // the stamp that it was taken with
 	tries    uint64
 	before   uint64 // copies up to this number were given out by earlier holders
 	settled  bool   // no copy of earlier holders is left that is not known of
-	stillUn  int    // recovered tasks that may be anywhere
-	creates  map[string]*creation
+	// A leader that does not say which lists are complete has called it settled.
+	settledUnchecked bool
+	stillUn          int // recovered tasks that may be anywhere
+	creates          map[string]*creation
 }
 
 type creation struct {
@@ -65,6 +68,7 @@
 	held     map[int32][]taskRef
 	changed  []*ownedJob
 	nonces   uint64
+	losses   tally // by lossReason
 	bytes    int64 // what the unfinished jobs take, roughly
 }
 
@@ -120,6 +124,7 @@
 	o.ledgers = make(map[string]*ownedLedger)
 	o.jobs = make(map[string]*ownedJob)
 	o.held = make(map[int32][]taskRef)
+	o.losses = newLossTally()
 }
 
 // adopt takes up a ledger whose key this process has just written, and reads
@@ -376,6 +381,7 @@
 
 // tick writes what has gathered, and ends the pauses of failed tasks.
 func (o *owner) tick(now time.Duration) {
+	o.losses.log(now, &o.c.log)
 	for _, l := range o.ledgers {
 		l.records.Pump()
 	}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -8,12 +8,7 @@
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 )
 
-const (
-	maxClearing = 300              // stops and forgets in one answer
-	toldEvery   = 10 * time.Second // an unchanged list is passed on whole again
-	tellChunk   = 250              // machines in one frame
-	maxListed   = 5000             // tasks and images in one frame, but for its last machine's
-)
+const maxClearing = 300 // stops and forgets in one answer
 
 func (l *leader) onReport(r *protocol.Report, conn uint64, now time.Duration, reply func(Response)) {
 	m := l.machines.add(r.Machine)
@@ -193,75 +188,6 @@
 	}
 }
 
-// passOn writes a report to every member that ledgers have joined for, before
-// it is answered.
-func (l *leader) passOn(m *machine, current, changed bool, now time.Duration) {
-	whole := changed || now-m.toldAt > toldEvery
-	if current && whole {
-		m.toldAt = now
-	}
-	for _, s := range l.listeners {
-		l.tell(s, m, current, whole, now)
-	}
-	m.cachedAnew = false
-}
-
-// tell writes what is new of a machine to one member. The first that a stream
-// hears of a machine is its name and, once that is current, its whole list.
-func (l *leader) tell(s *listener, m *machine, current, whole bool, now time.Duration) {
-	for len(m.told) < len(l.c.peers)+1 {
-		m.told = append(m.told, 0)
-	}
-	out := s.p.gathered(now)
-	fresh := m.told[s.p.index] != s.stream
-	r := &meshpb.Report{Machine: m.index, Session: m.session, Seq: m.seq, Current: current}
-	if fresh {
-		out.Names = append(out.Names, &meshpb.MachineName{Machine: m.index, Name: m.name, Zone: m.zone})
-	}
-	if (fresh && current) || m.cachedAnew {
-		r.Cached, r.Images = true, m.imagesToTell()
-	}
-	if current && !fresh && !whole {
-		r.Same = true
-	} else if current {
-		for i := range m.tasks {
-			if t := &m.tasks[i]; t.job != nil && t.job.ledger != nil && t.job.ledger.from == s.p {
-				r.Tasks = append(r.Tasks, &meshpb.TaskState{Job: t.key.job, Task: t.key.task, Attempt: t.key.attempt,
-					State: uint32(t.state), Why: uint32(t.why)})
-			}
-		}
-		m.told[s.p.index] = s.stream
-	}
-	out.Reports = append(out.Reports, r)
-	// However long workers' lists are, a frame stays within its size.
-	if s.p.listed += len(r.Tasks) + len(r.Images); s.p.listed >= maxListed || len(out.Reports) >= tellChunk {
-		s.p.flush()
-	}
-}
-
-// tellAll writes what every machine last listed to a member whose ledger has
-// just joined. What a machine listed whose lease is over is gone, see emptied.
-func (l *leader) tellAll(p *peer) {
-	now := l.c.now()
-	l.streams++
-	var to *listener
-	for _, s := range l.listeners {
-		if s.p == p {
-			to = s
-		}
-	}
-	if to == nil {
-		to = &listener{p: p}
-		l.listeners = append(l.listeners, to)
-	}
-	to.stream = l.streams
-	for m := range l.machines.all {
-		if m.currentAt > 0 && !m.gone && !l.leaseOver(m, now) {
-			l.tell(to, m, true, true, now)
-		}
-	}
-}
-
 // clearing returns the commands that remove what should not be, or no longer
 // need be, on the machine. They are repeated until the report shows the end.
 func (l *leader) clearing(m *machine) []protocol.Command {
--- a/internal/coordination/subscription.go
+++ b/internal/coordination/subscription.go
@@ -46,6 +46,8 @@
 	start   map[string]int64    // per ledger, on the leader's clock
 	orders  []*meshpb.Order     // gathered for the leader
 	sweepAt time.Duration
+
+	lastStart int64 // the latest of start
 }
 
 // subscribedMachine is what this process has heard of a machine. Zone and images
@@ -55,6 +57,7 @@
 	remote uint32 // the leader's index
 	zone   string
 	at     int64 // on the leader's clock, of the last report on this stream
+	before int64 // the same, of the last one that came earlier than that
 	seen   time.Duration
 	images []*meshpb.Image
 }
@@ -62,17 +65,17 @@
 const nobody = int32(-1)
 
 func (s *subscription) reset() {
-	s.from, s.token = nil, 0
+	s.from, s.token, s.lastStart = nil, 0, 0
 	s.start = make(map[string]int64)
 	s.names, s.orders = nil, nil
 	for i := range s.heard {
-		s.heard[i].at, s.heard[i].named = 0, false
+		s.heard[i].at, s.heard[i].before, s.heard[i].named = 0, 0, false
 	}
 	if s.c == nil {
 		return
 	}
 	for _, l := range s.c.owner.ledgers {
-		l.joined = false
+		l.joined, l.number, l.settledUnchecked = false, 0, false
 	}
 	s.c.admission.lingering.detach()
 }
@@ -160,6 +163,7 @@
 
 func (s *subscription) joinLedger(l *ownedLedger) {
 	s.start[l.name] = -1 // asked for
+	l.number, l.settledUnchecked = 0, false
 	jobs := make([]*meshpb.JobDemand, 0, len(l.jobs))
 	for _, j := range l.jobs {
 		jobs = append(jobs, s.c.owner.demandOf(j, true))
@@ -178,8 +182,13 @@
 }
 
 func (s *subscription) onJoined(p *peer, j *meshpb.Joined) {
-	if p == s.from && j.Token == s.token && s.start[j.Ledger] != 0 {
-		s.start[j.Ledger] = j.ClockUs
+	if p != s.from || j.Token != s.token || s.start[j.Ledger] == 0 {
+		return
+	}
+	s.start[j.Ledger] = j.ClockUs
+	s.lastStart = max(s.lastStart, j.ClockUs)
+	if l := s.c.owner.ledgers[j.Ledger]; l != nil {
+		l.number = j.Number
 	}
 }
 
@@ -198,7 +207,10 @@
 			continue
 		}
 		h := s.machine(m)
-		h.at, h.seen = f.ClockUs, now
+		if f.ClockUs > h.at {
+			h.at, h.before = f.ClockUs, h.at
+		}
+		h.seen = now
 		if r.Cached {
 			h.images = r.Images
 		}
@@ -251,13 +263,14 @@
 			}
 		}
 		for _, r := range gone {
-			s.c.owner.lost(r.job, r.task)
+			s.c.owner.lost(r.job, r.task, lossLeaseOver)
 		}
 		if len(gone) > 0 {
 			machines++
 			tasks += len(gone)
 		}
 	}
+	s.checkSettled(b.ClockUs)
 	s.c.admission.lingering.leasesOver(b.ClockUs, span)
 	if machines > 0 { // hundreds may be lost together: one line for all
 		s.c.log.Info().Int("machines", machines).Int("tasks", tasks).Msg("machines lost, their leases are over")
@@ -301,7 +314,8 @@
 		return
 	}
 	if l := s.c.owner.ledgers[st.Ledger]; l != nil {
-		if !l.settled {
+		l.settledUnchecked = l.number == 0
+		if !l.settled && !l.settledUnchecked {
 			s.c.owner.settled(l)
 		}
 		if st.Clean {
--- a/internal/coordination/tasks.go
+++ b/internal/coordination/tasks.go
@@ -130,8 +130,10 @@
 // lost replicates a task whose copy is proven gone. Was it given out by an
 // earlier holder of the ledger, there may be a newer one somewhere, until every
 // machine is accounted for.
-func (o *owner) lost(j *ownedJob, i int32) {
+func (o *owner) lost(j *ownedJob, i int32, why lossReason) {
 	t := &j.tasks[i]
+	o.losses.add(int(why))
+	o.c.log.Debug().Str("job", j.id).Int32("task", i).Uint64("attempt", t.attempt).Str("why", o.losses.kinds[why]).Msg("copy is gone")
 	o.lift(j, i)
 	if !j.ledger.settled && t.attempt <= j.ledger.before {
 		t.place = unplaced
@@ -147,28 +149,29 @@
 	o.c.admission.lingering.machineGone(m)
 	refs := append([]taskRef(nil), o.held[m]...)
 	for _, r := range refs {
-		o.lost(r.job, r.task)
+		o.lost(r.job, r.task, lossMachineGone)
 	}
 }
 
 // settled puts every recovered task that no machine listed back in line.
 func (o *owner) settled(l *ownedLedger) {
 	l.settled = true
+	o.c.log.Info().Str("ledger", l.name).Int("unlisted", l.stillUn).Msg("ledger settled")
 	if l.stillUn == 0 {
 		return
 	}
 	for _, j := range l.jobs {
 		for i := range j.tasks {
 			if j.tasks[i].place == unplaced {
-				o.lost(j, int32(i))
+				o.lost(j, int32(i), lossSettled)
 			}
 		}
 	}
 }
 
 // reported takes what the leader passes on of a machine. Only a current report
-// tells what is on it: it was sent by a worker that follows the present leader,
-// so that what it does not list is gone. One of a later session, however old,
+// tells what is on it, as it was sent by a worker that follows the present leader;
+// what its absence proves is told by absence. One of a later session, however old,
 // proves that all that the machine held before is gone.
 func (o *owner) reported(m int32, r *meshpb.Report) {
 	whole := r.Current && !r.Same
@@ -196,17 +199,12 @@
 	refs := o.held[m]
 	for k := len(refs) - 1; k >= 0; k-- {
 		ref := refs[k]
-		t := &ref.job.tasks[ref.task]
-		switch {
-		case r.Session > t.session:
-		case !r.Current || listed[ref]:
+		if r.Session <= ref.job.tasks[ref.task].session && listed[ref] {
 			continue
-		case t.place == onMachine && !whole:
-			continue // listed as it was before
-		case t.place == inTransit && (r.Session < t.session || r.Seq <= t.seq):
-			continue // sent before the start was
 		}
-		o.lost(ref.job, ref.task)
+		if gone, why := o.judge(m, r, ref); gone {
+			o.lost(ref.job, ref.task, why)
+		}
 	}
 }
 
@@ -332,7 +330,7 @@
 		o.cool(j, i, refusedStartPause)
 	default:
 		o.clear(s)
-		o.lost(j, i)
+		o.lost(j, i, lossStopped)
 	}
 }
 
@@ -441,7 +439,7 @@
 			continue
 		}
 		if t := &j.tasks[p.Task]; t.place == inTransit && t.attempt == p.Attempt {
-			o.lost(j, int32(p.Task))
+			o.lost(j, int32(p.Task), lossNotSent)
 		}
 	}
 }
