A machine is waited for while it is not known whether an earlier leader gave it tasks

Cause: found while going through the conclusions from absence.

Change: that a machine is in no record is proof only once the records are read. Why each machine is accounted for has a type, and is logged once a ledger is settled.

--- a/internal/coordination/incomplete_list_test.go
+++ b/internal/coordination/incomplete_list_test.go
@@ -125,3 +125,28 @@
 	want(t, "starts", first.starts+second.starts+idle.starts, started)
 	want(t, "running", w.total(), 8)
 }
+
+// A machine that has had this leader's token, but has not reported with it yet, may
+// hold anything while the records of machines are unread: however long that takes,
+// its lease counts from its own last report, not from the join.
+func TestUnreadRecordsProveNothingOfAMachineThatWasAnswered(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	busy, idle := startOneTask(t, w, w.nodes["a"])
+	for _, n := range w.names {
+		w.crash(n)
+	}
+	w.advance(4 * time.Second)
+	w.state.hidden = "fleet/"
+	for _, n := range w.names {
+		w.start(n)
+	}
+	w.advance(3 * time.Second)
+	w.reportFor(9, idle)
+	busy.report() // its first here, with the token of before; its lease begins anew
+	w.reportFor(13, idle)
+	want(t, "copies within the lease", idle.starts, 0)
+	w.state.hidden = ""
+	w.reportFor(10, busy, idle)
+	want(t, "copies on the other machine", idle.starts, 0)
+	want(t, "still running", len(busy.running()), 1)
+}
--- a/internal/coordination/settlement.go
+++ b/internal/coordination/settlement.go
@@ -7,6 +7,19 @@
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 )
 
+// accounting is why a ledger's owner need not wait for a machine any more.
+type accounting int
+
+const (
+	notAccounted       accounting = iota
+	accountedGone                 // it has ended for good
+	accountedLeaseOver            // its lease is over
+	accountedReported             // it has reported since the ledger joined
+	accountedTold                 // the owner was told its last list, and it was sent nothing of the ledger since
+	accountedEmpty                // no earlier leader can have given it tasks
+	accountings
+)
+
 // settle tells a new owner when no copy of its recovered tasks can be left
 // that it has not been told of.
 func (l *leader) settle(now, span time.Duration) {
@@ -15,38 +28,68 @@
 			l.settleClean(g, now)
 			continue
 		}
-		ok := l.machinesKnown || now-g.joinedAt > span
-		for m := range l.machines.all {
-			if !ok {
-				break
-			}
-			ok = m.gone || m.record == "" || l.accounted(m, g) || now-max(m.heard, g.joinedAt) > span
-		}
-		if ok {
+		if machines, all := l.accountForAll(g, now, span); all {
 			g.settled = true
+			l.logSettled(g, &machines, now)
 			g.from.send(&meshpb.Frame{Body: &meshpb.Frame_Settled{Settled: &meshpb.Settled{Ledger: g.name, Token: l.token}}})
 		}
 	}
 }
 
-// accounted tells whether a ledger's present owner has been told all that may
-// be on a machine: by a report since it joined, or by the last one before if
-// nothing of the ledger was sent to the machine after that. One that this leader
-// was the first to name, and that has not had its token, holds nothing: waited
-// for, the machines that come up all the time kept a ledger from being settled.
-func (l *leader) accounted(m *machine, g *leaderLedger) bool {
+// accountForAll counts the machines by why they are accounted for. It stops at the
+// first that is not.
+func (l *leader) accountForAll(g *leaderLedger, now, span time.Duration) (machines [accountings]int, all bool) {
+	if !l.machinesKnown && now-g.joinedAt <= span {
+		return machines, false // there may be more machines than it knows of
+	}
+	for m := range l.machines.all {
+		why := l.account(m, g, now, span)
+		if why == notAccounted {
+			return machines, false
+		}
+		machines[why]++
+	}
+	return machines, true
+}
+
+// account tells why a ledger's present owner has been told all that may be on a
+// machine: by a report since it joined, or by the last one before if nothing of
+// the ledger was sent to the machine after that. One that this leader was the
+// first to name, and that has not had its token, holds nothing: waited for, the
+// machines that come up all the time kept a ledger from being settled. Which
+// machines those are is known only once the records of earlier leaders were read.
+func (l *leader) account(m *machine, g *leaderLedger, now, span time.Duration) accounting {
 	switch {
-	case m.currentAt == 0:
-		return !m.inherited
+	case m.gone:
+		return accountedGone
+	case now-max(m.heard, g.joinedAt) > span:
+		return accountedLeaseOver
 	case m.currentAt > g.joinedAt:
-		return true
+		return accountedReported
+	case m.currentAt == 0 && l.machinesKnown && !m.inherited:
+		return accountedEmpty
+	case m.currentAt == 0 || m.sentOf(g):
+		return notAccounted
 	}
+	return accountedTold
+}
+
+// sentOf tells whether a machine was sent starts of a ledger that its list does
+// not answer yet.
+func (m *machine) sentOf(g *leaderLedger) bool {
 	for i := range m.sent {
 		if m.sent[i].job.ledger == g {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
+}
+
+func (l *leader) logSettled(g *leaderLedger, machines *[accountings]int, now time.Duration) {
+	l.c.log.Info().Str("ledger", g.name).Str("owner", g.from.member).Dur("after_ms", now-g.joinedAt).
+		Int("reported", machines[accountedReported]).Int("told", machines[accountedTold]).Int("empty", machines[accountedEmpty]).
+		Int("lease_over", machines[accountedLeaseOver]).Int("gone", machines[accountedGone]).Bool("machines_known", l.machinesKnown).
+		Msg("machines accounted for")
 }
 
 // settleClean tells a settled ledger's owner, once, when no machine holds a copy of
