Log lines and counters that the incident lacked

Need: the records could not tell whether the leader's read of the unfinished jobs had failed, when a ledger joined and was settled, and why a task was placed anew.

--- a/internal/coordination/answers.go
+++ b/internal/coordination/answers.go
@@ -36,6 +36,7 @@
 	now := l.c.now()
 	if l.c.leader != l || !l.c.session.mayAct(now) || m.gone {
 		l.returnPicks(a)
+		l.c.noteAnswer(answerNotEntitled)
 		a.reply(l.c.refusal(503, "not entitled to act at present", 1))
 		return
 	}
@@ -75,6 +76,7 @@
 	a.over = true
 	a.m.pending = nil
 	l.returnPicks(a)
+	l.c.noteAnswer(answerSuperseded)
 	a.reply(l.c.refusal(503, "superseded", 1))
 }
 
@@ -101,6 +103,7 @@
 		kept := a.picks[:0]
 		for _, p := range a.picks {
 			if p.from.from == to {
+				l.c.noteAnswer(startNotSent)
 				picks = append(picks, p.pick)
 			} else {
 				kept = append(kept, p)
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -65,9 +65,10 @@
 		case storage.Applied:
 			delete(s.claiming, name)
 			s.see(key, s.c.codec.Encode(s.c.me), r.Revision, true)
+			s.c.log.Info().Str("ledger", name).Uint64("stamp", r.Revision).Uint64("before", stamp).Msg("ledger claimed")
 			s.c.owner.adopt(name, lease, r.Revision)
 		case storage.NoLease:
-			s.end()
+			s.end("the state service knows no such lease")
 		default:
 			// Without an answer the key may or may not be ours; the fresh
 			// view decides, and a claim of ours that is applied late shows
@@ -119,9 +120,9 @@
 		return
 	}
 	s.claiming[storage.LeaderKey] = true
-	lease, stamp := s.lease, uint64(0)
+	lease, stamp, why := s.lease, uint64(0), "nobody held the leader key"
 	if own {
-		stamp = k.stamp
+		stamp, why = k.stamp, "this member held the leader key already"
 	}
 	s.put(storage.LeaderKey, stamp, func(r storage.TxnResult) {
 		if lease != s.lease {
@@ -131,9 +132,9 @@
 		case storage.Applied:
 			delete(s.claiming, storage.LeaderKey)
 			s.see(storage.LeaderKey, s.c.codec.Encode(s.c.me), r.Revision, true)
-			s.c.becomeLeader(r.Revision)
+			s.c.becomeLeader(r.Revision, why)
 		case storage.NoLease:
-			s.end()
+			s.end("the state service knows no such lease")
 		default:
 			s.electAt = 0
 			s.c.store.Get(storage.Urgent, storage.LeaderKey, func(p protocol.Pair, found, ok bool) {
@@ -158,7 +159,7 @@
 	s.c.log.Error().Str("why", why).Msg("giving up leadership")
 	token := s.c.leader.token
 	s.abstainTo = s.c.now() + abstainFor
-	s.c.dropLeadership()
+	s.c.dropLeadership(why)
 	s.leaderK = heldKey{stamp: s.leaderK.stamp, since: s.c.now()}
 	s.dropLeaderKey(token)
 }
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -97,6 +97,7 @@
 	relay        relay
 	fleet        fleet // what the cloud says; every node keeps the catalogue
 
+	answerEvents  tally // by answerEvent
 	lastHeartbeat time.Duration
 	lastFlush     time.Duration
 }
@@ -210,6 +211,7 @@
 		c.peers[p.Member] = &peer{member: p.Member, index: i + 1}
 	}
 	c.self = &peer{member: cfg.Member, link: localLink{c}, stateOK: true}
+	c.answerEvents = newAnswerTally()
 	c.owner.init(c)
 	if err := c.admission.init(c); err != nil {
 		return nil, err
@@ -292,6 +294,7 @@
 	c.users.tick(now)
 	c.relay.tick(now)
 	c.fleet.tick(now)
+	c.answerEvents.log(now, &c.log)
 	if c.leader != nil {
 		c.leader.tick(now)
 	}
--- a/internal/coordination/fanout.go
+++ b/internal/coordination/fanout.go
@@ -127,8 +127,10 @@
 }
 
 // tellAll writes what every machine last listed to a member whose ledger has
-// just joined. What a machine listed whose lease is over is gone, see emptied.
-func (l *leader) tellAll(p *peer) {
+// just joined, and counts the machines and their tasks of jobs that this leader did
+// not know when they reported. What a machine listed whose lease is over is gone,
+// see emptied.
+func (l *leader) tellAll(p *peer) (machines, unknown int) {
 	now := l.c.now()
 	l.streams++
 	var to *listener
@@ -145,6 +147,20 @@
 	for m := range l.machines.all {
 		if m.currentAt > 0 && !m.gone && !l.leaseOver(m, now) {
 			l.tell(to, m, true, true, now)
+			machines++
+			unknown += m.unknownTasks()
 		}
 	}
+	return machines, unknown
+}
+
+// unknownTasks counts the listed copies whose jobs are not known.
+func (m *machine) unknownTasks() int {
+	n := 0
+	for i := range m.tasks {
+		if m.tasks[i].job == nil {
+			n++
+		}
+	}
+	return n
 }
--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -58,6 +58,7 @@
 	settled  bool
 	clean    bool // and its owner was told that nothing else is left of it, see settleClean
 	counted  bool // its unfinished jobs are known, from its owner or by reading
+	reads    int  // how often they were asked for
 	jobs     map[string]*leaderJob
 	arriving map[string]*meshpb.JobDemand
 }
@@ -117,7 +118,8 @@
 // countLedger reads the unfinished jobs of a ledger that nobody has joined
 // for yet: all their tasks may be running and count against their teams.
 func (l *leader) countLedger(g *leaderLedger) {
-	l.c.store.Unfinished(g.name, func(jobs []storage.RecoveredJob, ok bool) {
+	g.reads++
+	l.c.store.Unfinished(g.name, func(jobs []storage.RecoveredJob, revision uint64, ok bool) {
 		if l.c.leader != l || g.counted {
 			return
 		}
@@ -135,6 +137,8 @@
 				Priority: uint32(s.Priority), Class: s.Class, Located: uint32(s.Tasks), Spec: true})
 		}
 		g.counted = true
+		l.c.log.Info().Str("ledger", g.name).Int("jobs", len(jobs)).Uint64("revision", revision).Int("reads", g.reads).
+			Dur("after_ms", l.c.now()-l.since).Msg("unfinished jobs read")
 	})
 }
 
@@ -243,7 +247,9 @@
 	l.demand.stale = true
 	p.send(&meshpb.Frame{Body: &meshpb.Frame_Joined{Joined: &meshpb.Joined{
 		Ledger: f.Ledger, Token: l.token, ClockUs: now.Microseconds(), Number: g.number}}})
-	l.tellAll(p)
+	machines, unknown := l.tellAll(p)
+	l.c.log.Info().Str("ledger", g.name).Str("owner", p.member).Uint64("stamp", g.stamp).Int("jobs", len(g.jobs)).
+		Int("machines_told", machines).Int("unknown_tasks", unknown).Msg("ledger joined")
 }
 
 func (l *leader) onDemand(p *peer, f *meshpb.Demand) {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -23,6 +23,7 @@
 	actingAt      time.Duration // since when this member may act without a break
 	nextSlow      time.Duration
 	machinesKnown bool // every machine that may hold a task is known
+	recordReads   int  // how often the records that tell were asked for
 	unrecorded    []*machine
 	nextRecord    time.Duration
 	recording     bool
@@ -41,7 +42,8 @@
 // a tick, all of them in a second.
 const tickParts = int(time.Second / tickEvery)
 
-func (c *Core) becomeLeader(token uint64) {
+// becomeLeader begins to lead under a token; why says how the key came to be free.
+func (c *Core) becomeLeader(token uint64, why string) {
 	now := c.now()
 	l := &leader{
 		c: c, token: token, since: now, reportAt: now, actingAt: now,
@@ -61,7 +63,7 @@
 	l.standby.init(l)
 	c.leader = l
 	c.fleet.nextAsk, c.fleet.nextList = min(c.fleet.nextAsk, now), now // prices and machines as they are now
-	c.log.Info().Uint64("token", token).Msg("leading")
+	c.log.Info().Uint64("token", token).Str("why", why).Msg("leading")
 	c.subscription.join()
 	for _, g := range l.ledgers {
 		l.countLedger(g)
@@ -70,7 +72,8 @@
 	c.sendHeartbeat(now)
 }
 
-func (c *Core) dropLeadership() {
+// dropLeadership ends this process's leadership, if it leads.
+func (c *Core) dropLeadership(why string) {
 	if c.leader == nil {
 		return
 	}
@@ -81,7 +84,7 @@
 			a.reply(Response{Status: 503, RetryAfterS: 1})
 		}
 	}
-	c.log.Info().Msg("leading no more")
+	c.log.Info().Uint64("token", l.token).Str("why", why).Msg("leading no more")
 	c.subscription.join()
 }
 
--- a/internal/coordination/machine_records.go
+++ b/internal/coordination/machine_records.go
@@ -70,7 +70,8 @@
 
 // readRecordedMachines learns the machines that earlier leaders may have given tasks.
 func (l *leader) readRecordedMachines() {
-	l.c.store.RecordedMachines(func(records map[string][]string, ok bool) {
+	l.recordReads++
+	l.c.store.RecordedMachines(func(records map[string][]string, revision uint64, ok bool) {
 		if l.c.leader != l {
 			return
 		}
@@ -92,6 +93,8 @@
 			}
 		}
 		l.machinesKnown = true
+		l.c.log.Info().Int("records", len(records)).Uint64("revision", revision).Int("reads", l.recordReads).Dur("after_ms", now-l.since).
+			Msg("records of machines read")
 	})
 }
 
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -131,6 +131,7 @@
 // what is unfinished in it.
 func (o *owner) adopt(name string, lease, stamp uint64) {
 	o.drop(name)
+	claimed := o.c.now()
 	l := &ownedLedger{name: name, jobs: make(map[string]*ownedJob), creates: make(map[string]*creation)}
 	l.records = storage.NewLedger(o.c.store, name, o.c.me, lease, stamp, func() {
 		o.c.log.Error().Str("ledger", name).Msg("ledger lost")
@@ -150,7 +151,8 @@
 		if unread := l.records.Unread(); len(unread) > 0 {
 			o.c.log.Error().Strs("keys", unread).Msg("records of unknown shape are left alone")
 		}
-		o.c.log.Info().Str("ledger", name).Int("jobs", len(jobs)).Msg("ledger taken up")
+		o.c.log.Info().Str("ledger", name).Int("jobs", len(jobs)).Uint64("stamp", stamp).Int("reads", l.records.Reads()).
+			Dur("after_ms", o.c.now()-claimed).Msg("ledger taken up")
 		for _, j := range l.jobs {
 			o.checkEnd(j)
 		}
--- a/internal/coordination/recovery_test.go
+++ b/internal/coordination/recovery_test.go
@@ -312,7 +312,7 @@
 	w.run(2 * time.Second)
 	j := f.core.owner.jobs["wk-1"]
 	f.core.owner.touch(j)
-	f.core.session.end()
+	f.core.session.end("the test asks for it")
 	w.settle()
 	w.worker("vm-1", "z1")
 	w.run(longEnough)
--- a/internal/coordination/relay_test.go
+++ b/internal/coordination/relay_test.go
@@ -60,7 +60,7 @@
 	k := w.worker("vm-1", "z1")
 	want(t, "before", k.reportTo(f).Status, 200)
 	lead.core.session.abstainTo = w.now + time.Minute
-	lead.core.dropLeadership()
+	lead.core.dropLeadership("the test asks for it")
 	want(t, "leader that leads no more", k.reportTo(f).Status, 503)
 }
 
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -17,11 +17,13 @@
 		reply(l.c.refusal(503, "too many machines", 1))
 		return
 	case m.gone:
+		l.c.noteAnswer(answerMachineReturned)
 		reply(l.c.refusal(503, "machine was returned", 1))
 		return
 	case m.reported && (r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq)):
 		// A late copy. It says nothing new, and an answer that a worker took
 		// for a new one would renew its lease.
+		l.c.noteAnswer(answerLateReport)
 		reply(l.c.refusal(503, "report is older than one before", 1))
 		return
 	}
@@ -116,6 +118,9 @@
 		return false
 	}
 	m.presumed = !proven
+	if !proven {
+		l.c.noteAnswer(startPresumed)
+	}
 	m.reached = now
 	if proven {
 		l.reportAt = now
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -221,16 +221,16 @@
 			s.goodSent = max(s.goodSent, now)
 		case lost:
 			s.c.log.Error().Uint64("lease", lease).Msg("state lease lost, starting over")
-			s.end()
+			s.end("state lease lost")
 		}
 	})
 }
 
 // end gives up everything that hung on the lease.
-func (s *session) end() {
+func (s *session) end(why string) {
 	s.lease = 0
 	s.claiming = make(map[string]bool)
-	s.c.dropLeadership()
+	s.c.dropLeadership(why)
 	s.c.owner.dropAll()
 }
 
@@ -332,11 +332,11 @@
 	if key == storage.LeaderKey {
 		s.electAt = 0
 		if s.c.leader != nil && (!present || h != s.c.me || stamp != s.c.leader.token) {
-			s.c.log.Info().Str("leader", h.Member).Msg("another member leads")
-			s.c.dropLeadership()
+			s.c.log.Info().Str("leader", h.Member).Uint64("token", stamp).Msg("another member leads")
+			s.c.dropLeadership("the leader key has changed")
 		}
 	} else if l := s.c.owner.ledgers[ledgerName(key)]; l != nil && (!present || h != s.c.me) && stamp > l.records.Stamp() {
-		s.c.log.Info().Str("ledger", l.name).Msg("ledger is another's now")
+		s.c.log.Info().Str("ledger", l.name).Str("holder", h.Member).Uint64("stamp", stamp).Msg("ledger is another's now")
 		s.c.owner.drop(l.name)
 	}
 }
--- a/internal/storage/ledger.go
+++ b/internal/storage/ledger.go
@@ -91,6 +91,7 @@
 	lease uint64
 	stamp uint64
 	lost  bool
+	reads int // how often its records were asked for
 	onEnd func()
 
 	settling bool
@@ -126,6 +127,9 @@
 // Stamp returns the stamp that fences this holder's writes.
 func (l *Ledger) Stamp() uint64 { return l.stamp }
 
+// Reads returns how often Recover has asked for the records, failures included.
+func (l *Ledger) Reads() int { return l.reads }
+
 // Close stops all writing; callbacks of unfinished operations never come.
 func (l *Ledger) Close() {
 	l.lost = true
@@ -272,6 +276,7 @@
 
 // Recover reads the ledger's unfinished jobs with their finished tasks.
 func (l *Ledger) Recover(done func([]RecoveredJob)) {
+	l.reads++
 	l.store.List(ownPrefix+l.name+"/", func(items []protocol.Pair, _ uint64, ok bool) {
 		if l.lost {
 			return
@@ -325,15 +330,16 @@
 	}, done)
 }
 
-// RecordedMachines reads the names of all recorded machines, by record.
-func (s *Store) RecordedMachines(done func(records map[string][]string, ok bool)) {
-	s.List(fleetPrefix, func(items []protocol.Pair, _ uint64, ok bool) {
+// RecordedMachines reads the names of all recorded machines, by record, as they were
+// at a revision.
+func (s *Store) RecordedMachines(done func(records map[string][]string, revision uint64, ok bool)) {
+	s.List(fleetPrefix, func(items []protocol.Pair, revision uint64, ok bool) {
 		records := make(map[string][]string, len(items))
 		for _, it := range items {
 			names, err := s.codec.Texts(it.Value)
 			ok = ok && err == nil
 			records[it.Key] = names
 		}
-		done(records, ok)
+		done(records, revision, ok)
 	})
 }
--- a/internal/storage/recovery.go
+++ b/internal/storage/recovery.go
@@ -94,10 +94,11 @@
 	return true
 }
 
-// Unfinished reads the jobs of a ledger that another member holds.
-func (s *Store) Unfinished(ledger string, done func(jobs []RecoveredJob, ok bool)) {
-	s.List(ownPrefix+ledger+"/", func(items []protocol.Pair, _ uint64, ok bool) {
+// Unfinished reads the jobs of a ledger that another member holds, as they were at
+// a revision.
+func (s *Store) Unfinished(ledger string, done func(jobs []RecoveredJob, revision uint64, ok bool)) {
+	s.List(ownPrefix+ledger+"/", func(items []protocol.Pair, revision uint64, ok bool) {
 		jobs, _, _ := s.readOwn(ledger, items)
-		done(jobs, ok)
+		done(jobs, revision, ok)
 	})
 }
