--- a/internal/coordination/incomplete_list_test.go
+++ b/internal/coordination/incomplete_list_test.go
@@ -34,57 +34,117 @@
 	}
 }
 
+// keepFromLeading has only one of the members lead for the next minute.
+func (w *world) keepFromLeading(allBut string) {
+	for _, n := range w.names {
+		if n != allBut && w.nodes[n].up {
+			w.nodes[n].core.session.abstainTo = w.now + time.Minute
+		}
+	}
+}
+
+// leaderVersions are the versions of the member a, which is to lead; the owners have
+// this one. What a leader of the version before passes on lacks the same tasks as
+// ever, see withoutUnknownTasks, and it calls ledgers settled as it did.
+func leaderVersions(t *testing.T, test func(t *testing.T, w *world)) {
+	t.Helper()
+	t.Run("this version", func(t *testing.T) { test(t, newWorld(t, "a", "b", "c")) })
+	t.Run("the version before", func(t *testing.T) { test(t, newWorldOf(t, "", []string{"a"}, "a", "b", "c")) })
+}
+
 // Both breaks of the incident's records: all controllers end, the leader's read of
 // the unfinished jobs fails, a machine reports to it, and then the owner that has
 // taken the ledger up joins.
 func TestRecoveredTaskOfAJobUnknownToTheLeader(t *testing.T) {
-	w := newWorld(t, "a", "b", "c")
-	busy, idle := startOneTask(t, w, w.nodes["a"])
-	for _, n := range w.names {
-		w.crash(n)
-	}
-	w.advance(4 * time.Second)
-	w.state.hidden = "own/"
-	for _, n := range w.names {
-		w.start(n)
-	}
-	w.advance(4 * time.Second)
-	w.reportFor(3, busy, idle)
-	w.state.hidden = ""
-	w.advance(2 * time.Second) // the owner joins, and no machine reports meanwhile
-	w.reportFor(3, idle)       // no longer: a silent machine is returned, which is proof
-	w.reportFor(20, busy, idle)
-	want(t, "copies on the other machine", idle.starts, 0)
-	want(t, "still running", len(busy.running()), 1)
+	leaderVersions(t, func(t *testing.T, w *world) {
+		busy, idle := startOneTask(t, w, w.nodes["b"])
+		for _, n := range w.names {
+			w.crash(n)
+		}
+		w.advance(4 * time.Second)
+		w.state.hidden = "own/"
+		for _, n := range w.names {
+			w.start(n)
+		}
+		w.keepFromLeading("a")
+		w.advance(4 * time.Second)
+		w.reportFor(3, busy, idle)
+		w.state.hidden = ""
+		w.advance(2 * time.Second) // the owner joins, and no machine reports meanwhile
+		w.reportFor(3, idle)       // no longer: a silent machine is returned, which is proof
+		w.reportFor(5, busy, idle)
+		want(t, "leader", w.leader().name, "a")
+		want(t, "settled", w.nodes["b"].core.owner.ledgers["b"].settled, true)
+		w.reportFor(15, busy, idle)
+		want(t, "copies on the other machine", idle.starts, 0)
+		want(t, "still running", len(busy.running()), 1)
+	})
 }
 
 // The same of an owner that lives on through the change of leader: its stream to
 // the new leader comes up after a machine has reported there.
 func TestTaskOfAnOwnerThatJoinsLate(t *testing.T) {
-	w := newWorld(t, "a", "b", "c")
-	old := w.leader()
-	var others []string
-	for _, n := range w.names {
-		if n != old.name {
-			others = append(others, n)
+	leaderVersions(t, func(t *testing.T, w *world) {
+		w.nodes["b"].core.session.abstainTo = w.now + time.Hour // it owns the task
+		if w.leader().name != "c" {
+			w.nodes["a"].core.session.abstainTo = w.now + 4*time.Second
+			w.crash(w.leader().name)
+			w.advance(4 * time.Second)
+			w.startMissing()
+			w.advance(6 * time.Second)
 		}
-	}
-	busy, idle := startOneTask(t, w, w.nodes[others[0]])
-	// Whichever of the others leads next, the owner of the task must not.
-	w.nodes[others[0]].core.session.abstainTo = w.now + time.Minute
-	w.state.hidden, w.state.hiddenFrom = "own/", others[1]
-	w.cut(others[0], others[1])
-	w.crash(old.name)
-	w.advance(4 * time.Second)
-	want(t, "leader", w.leader().name, others[1])
-	w.reportFor(1, busy, idle)
-	busy.report()
-	w.connect(others[0], others[1])
-	w.advance(2 * time.Second)
-	w.reportFor(3, idle)
-	w.reportFor(20, busy, idle)
+		want(t, "first leader", w.leader().name, "c")
+		busy, idle := startOneTask(t, w, w.nodes["b"])
+		w.state.hidden, w.state.hiddenFrom = "own/", "a"
+		w.cut("a", "b")
+		w.crash("c")
+		w.advance(4 * time.Second)
+		want(t, "leader", w.leader().name, "a")
+		w.reportFor(1, busy, idle)
+		busy.report()
+		w.connect("a", "b")
+		w.advance(2 * time.Second)
+		w.reportFor(3, idle)
+		w.reportFor(20, busy, idle)
+		want(t, "copies on the other machine", idle.starts, 0)
+		want(t, "still running", len(busy.running()), 1)
+	})
+}
+
+// While the leader takes another member for a ledger's holder, as it may for a
+// moment after the ledger has changed hands, its lists to the present holder lack
+// the ledger's tasks, and say so.
+func TestListIsCompleteOnlyForJoinedLedgers(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	lead := w.leader()
+	owner := w.follower()
+	busy, idle := startOneTask(t, w, owner)
+	l := lead.core.leader
+	l.setHolder(l.ledgers[owner.name], l.c.self)
+	busy.tasks["other#1"] = &workerTask{name: "wk-9/0", attempt: 1, state: "ended", why: "halted"}
+	w.reportFor(3, busy, idle) // the list has changed, so it is passed on whole
+	task := &owner.core.owner.jobs["wk-1"].tasks[0]
+	want(t, "the task is on its machine still", task.place, onMachine)
+	l.setHolder(l.ledgers[owner.name], l.c.peers[owner.name])
+	w.reportFor(15, busy, idle)
 	want(t, "copies on the other machine", idle.starts, 0)
-	want(t, "still running", len(busy.running()), 1)
+}
+
+// An owner that joins a leader of the version before still learns from its lists
+// that a task is gone: from those of machines that have reported since.
+func TestTaskThatEndedUnderALeaderOfTheVersionBefore(t *testing.T) {
+	w := newWorldOf(t, "", []string{"a", "b", "c"}, "a", "b", "c")
+	owner := w.follower()
+	delete(w.before, owner.name)
+	w.crash(owner.name)
+	w.start(owner.name)
+	w.run(8 * time.Second)
+	owner = w.nodes[owner.name]
+	busy, idle := startOneTask(t, w, owner)
+	clear(busy.tasks) // as if the machine had lost it, within its session
+	w.run(20 * time.Second)
+	want(t, "starts", busy.starts+idle.starts, 2)
+	want(t, "running", w.total(), 1)
 }
 
 // A member with two ledgers joins the next leader for one after the other: what it
@@ -150,3 +210,12 @@
 	want(t, "copies on the other machine", idle.starts, 0)
 	want(t, "still running", len(busy.running()), 1)
 }
+
+// startMissing starts the members that are down.
+func (w *world) startMissing() {
+	for _, n := range w.names {
+		if !w.nodes[n].up {
+			w.start(n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/list_check_test.go
@@ -0,0 +1,74 @@
+package coordination
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
+)
+
+// withoutUnknownTasks is what the version before makes of the lists in a frame: it
+// leaves out the tasks of jobs that the leader did not know when the machine
+// reported, and those of ledgers that the receiver has not joined for.
+func withoutUnknownTasks(l *leader, to string, f *meshpb.Frame) *meshpb.Frame {
+	if l == nil || f.GetReports() == nil {
+		return f
+	}
+	f = proto.Clone(f).(*meshpb.Frame)
+	for _, r := range f.GetReports().Reports {
+		m := l.machines.at(r.Machine)
+		if m == nil {
+			continue
+		}
+		var kept []*meshpb.TaskState
+		for _, t := range r.Tasks {
+			if p := m.listed(t); p != nil && p.job != nil && p.job.ledger != nil && p.job.ledger.from == l.c.peers[to] {
+				kept = append(kept, t)
+			}
+		}
+		r.Tasks = kept
+	}
+	return f
+}
+
+// listed finds a task in what a machine last listed.
+func (m *machine) listed(t *meshpb.TaskState) *placed {
+	for i := range m.tasks {
+		if p := &m.tasks[i]; p.key == (taskKey{t.Job, t.Task, t.Attempt}) {
+			return p
+		}
+	}
+	return nil
+}
+
+// checkLists looks at every list that a leader passes on: it has whatever the
+// machine last listed of the jobs that the receiver owns, unless another member
+// has joined for them. The version before takes each list for that much.
+func (w *world) checkLists(l *leader, to *node, f *meshpb.Frame) {
+	if l == nil || f.GetReports() == nil {
+		return
+	}
+	last := make(map[uint32]*meshpb.Report)
+	for _, r := range f.GetReports().Reports {
+		last[r.Machine] = r
+	}
+	for index, r := range last {
+		m := l.machines.at(index)
+		if m == nil || !r.Current || r.Same || r.Seq != m.seq {
+			continue
+		}
+		has := make(map[taskKey]bool, len(r.Tasks))
+		for _, t := range r.Tasks {
+			has[taskKey{t.Job, t.Task, t.Attempt}] = true
+		}
+		for i := range m.tasks {
+			key := m.tasks[i].key
+			j := to.core.owner.jobs[key.job]
+			if j == nil || has[key] {
+				continue
+			}
+			if g := l.ledgers[j.ledger.name]; g == nil || g.from == nil || g.from == l.c.peers[to.name] {
+				w.t.Errorf("%s is told what %s lists without %s/%d, which it owns", to.name, m.name, key.job, key.task)
+			}
+		}
+	}
+}
--- a/internal/coordination/state_test.go
+++ b/internal/coordination/state_test.go
@@ -19,13 +19,45 @@
 	serve func(from string, method, path string, body []byte, done func(storage.Result))
 }
 
-func (f *fakeCaller) Call(method, path string, body []byte, _ time.Duration, done func(storage.Result)) {
+func (f *fakeCaller) Call(method, path string, body []byte, timeout time.Duration, done func(storage.Result)) {
 	core := f.n.core
-	f.serve(f.n.name, method, path, body, func(r storage.Result) {
+	answer := func(r storage.Result) {
 		if f.n.up && f.n.core != nil && (core == nil || f.n.core == core) {
 			f.n.core.later(func() { done(r) })
 		}
-	})
+	}
+	f.serve(f.n.name, method, path, body, func(r storage.Result) { f.w.state.deliver(f.n.name, path, timeout, r, answer) })
+}
+
+// deliver hands an answer over, at once or as late as the service is slow. A caller
+// that has waited for too long has no answer, though the request was carried out.
+func (s *fakeState) deliver(to, path string, timeout time.Duration, r storage.Result, answer func(storage.Result)) {
+	if s.slow == nil || strings.HasPrefix(path, "/watch") {
+		answer(r)
+		return
+	}
+	after := s.slow(to)
+	if after > timeout {
+		after, r = timeout, storage.Result{}
+	}
+	if after == 0 {
+		answer(r)
+		return
+	}
+	s.answers = append(s.answers, lateCall{s.w.now + after, func() { answer(r) }})
+}
+
+// deliverLate hands over the late answers that have come due.
+func (s *fakeState) deliverLate() {
+	waiting := s.answers
+	s.answers = nil
+	for _, a := range waiting {
+		if s.w.now >= a.at {
+			a.fn()
+		} else {
+			s.answers = append(s.answers, a)
+		}
+	}
 }
 
 // fakeState is the state service.
@@ -37,10 +69,12 @@
 	leaseN        uint64
 	changes       []stateChange
 	watches       []*stateWatch
-	away          map[string]bool // members that get 503; "" is all of them
-	hidden        string          // a prefix whose listings get 503
-	hiddenFrom    string          // the member that gets it; "" is all of them
-	silentWatches map[string]bool // members whose watches tell nothing
+	away          map[string]bool               // members that get 503; "" is all of them
+	hidden        string                        // a prefix whose listings get 503
+	hiddenFrom    string                        // the member that gets it; "" is all of them
+	silentWatches map[string]bool               // members whose watches tell nothing
+	slow          func(to string) time.Duration // how late an answer to a member is; nil: not at all
+	answers       []lateCall                    // late ones
 	// onTxn may take a transaction over: it returns true to swallow it, and
 	// may apply it later.
 	onTxn  func(from string, t *protocol.Txn, apply func() storage.Result, done func(storage.Result)) bool
@@ -250,6 +284,7 @@
 }
 
 func (s *fakeState) tick() {
+	s.deliverLate()
 	if s.away[""] {
 		for _, l := range s.leases { // an outage gives all leases their full time again
 			l.end = s.w.now + l.ttl
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -266,6 +266,11 @@
 		l.w.t.Fatalf("a frame of %d bytes", n)
 	}
 	if !l.closed {
+		if l.w.before[l.peer.to.name] {
+			f = withoutUnknownTasks(l.peer.to.core.leader, l.to.name, f)
+		} else {
+			l.w.checkLists(l.peer.to.core.leader, l.to, f)
+		}
 		if l.w.before[l.to.name] || l.w.before[l.peer.to.name] {
 			f = production.asRead(l.w.t, f)
 		}
