--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -230,7 +230,7 @@
 	if f.More {
 		return
 	}
-	now := l.c.now()
+	now, read := l.c.now(), g.counted
 	l.cancelOffers(g)
 	for id, j := range g.jobs {
 		if g.arriving[id] == nil {
@@ -249,7 +249,7 @@
 		Ledger: f.Ledger, Token: l.token, ClockUs: now.Microseconds(), Number: g.number}}})
 	machines, unknown := l.tellAll(p)
 	l.c.log.Info().Str("ledger", g.name).Str("owner", p.member).Uint64("stamp", g.stamp).Int("jobs", len(g.jobs)).
-		Int("machines_told", machines).Int("unknown_tasks", unknown).Msg("ledger joined")
+		Int("machines_told", machines).Int("unknown_tasks", unknown).Bool("jobs_read", read).Int("reads", g.reads).Msg("ledger joined")
 }
 
 func (l *leader) onDemand(p *peer, f *meshpb.Demand) {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -37,20 +37,20 @@
 
 // ownedLedger is a ledger that this process holds.
 type ownedLedger struct {
-	name     string
-	records  *storage.Ledger
-	ready    bool   // recovered
-	joined   bool   // the present leader counts it
-	number   uint32 // in the present leader's lists, see Report.complete_for; 0: it gave none
-	jobs     map[string]*ownedJob
-	complete bool   // all of earlier holders is counted or proven gone
-	token    uint64 // the stamp that it was taken with
-	tries    uint64
-	before   uint64 // copies up to this number were given out by earlier holders
-	settled  bool   // no copy of earlier holders is left that is not known of
+	name          string
+	records       *storage.Ledger
+	ready         bool   // recovered
+	joined        bool   // the present leader counts it
+	number        uint32 // in the present leader's lists, see Report.complete_for; 0: it gave none
+	jobs          map[string]*ownedJob
+	complete      bool   // all of earlier holders is counted or proven gone
+	token         uint64 // the stamp that it was taken with
+	lastAttempt   uint64 // the highest replica number of the ledger
+	lastInherited uint64 // copies up to this number were given out by earlier holders
+	settled       bool   // no copy of earlier holders is left that is not known of
 	// A leader that does not say which lists are complete has called it settled.
 	settledUnchecked bool
-	stillUn          int // recovered tasks that may be anywhere
+	unlocated        int // recovered tasks that may be anywhere
 	creates          map[string]*creation
 }
 
@@ -72,6 +72,10 @@
 	bytes    int64 // what the unfinished jobs take, roughly
 }
 
+// attemptBits is how many replica numbers a holder of a ledger has, as a power of
+// two. Each holder's begin at its stamp, so they go up from holder to holder.
+const attemptBits = 20
+
 const (
 	jobBytes  = 4 << 10
 	taskBytes = 72
@@ -137,10 +141,9 @@
 		o.c.log.Error().Str("ledger", name).Msg("ledger lost")
 		o.drop(name)
 	})
-	// Replica numbers go up from holder to holder, since stamps do.
 	l.token = stamp
-	l.tries = stamp << 20
-	l.before = l.tries
+	l.lastAttempt = stamp << attemptBits
+	l.lastInherited = l.lastAttempt
 	o.ledgers[name] = l
 	o.c.admission.open(l, stamp)
 	l.records.Recover(func(jobs []storage.RecoveredJob) {
@@ -170,7 +173,7 @@
 		} else {
 			j.tasks[i].place = unplaced
 			j.nLoc++
-			l.stillUn++
+			l.unlocated++
 		}
 	}
 	o.c.admission.count(j, j.nLoc)
@@ -304,7 +307,7 @@
 	for i := range j.tasks {
 		switch j.tasks[i].place {
 		case unplaced:
-			j.ledger.stillUn--
+			j.ledger.unlocated--
 		case inTransit, onMachine:
 			o.unhold(j, int32(i))
 		}
--- a/internal/coordination/tasks.go
+++ b/internal/coordination/tasks.go
@@ -55,7 +55,7 @@
 	case cooling:
 		j.nLoc++
 	case unplaced:
-		j.ledger.stillUn--
+		j.ledger.unlocated--
 	case inTransit, onMachine:
 		if t.machine == m {
 			t.place = p
@@ -94,7 +94,7 @@
 	t := &j.tasks[i]
 	switch t.place {
 	case unplaced:
-		j.ledger.stillUn--
+		j.ledger.unlocated--
 	case inTransit, onMachine:
 		o.unhold(j, i)
 	default:
@@ -135,10 +135,10 @@
 	o.losses.add(int(why))
 	o.c.log.Debug().Str("job", j.id).Int32("task", i).Uint64("attempt", t.attempt).Str("why", o.losses.kinds[why]).Msg("copy is gone")
 	o.lift(j, i)
-	if !j.ledger.settled && t.attempt <= j.ledger.before {
+	if !j.ledger.settled && t.attempt <= j.ledger.lastInherited {
 		t.place = unplaced
 		j.nLoc++
-		j.ledger.stillUn++
+		j.ledger.unlocated++
 		o.c.admission.count(j, 1)
 		return
 	}
@@ -156,8 +156,8 @@
 // settled puts every recovered task that no machine listed back in line.
 func (o *owner) settled(l *ownedLedger) {
 	l.settled = true
-	o.c.log.Info().Str("ledger", l.name).Int("unlisted", l.stillUn).Msg("ledger settled")
-	if l.stillUn == 0 {
+	o.c.log.Info().Str("ledger", l.name).Int("unlisted", l.unlocated).Msg("ledger settled")
+	if l.unlocated == 0 {
 		return
 	}
 	for _, j := range l.jobs {
@@ -278,7 +278,7 @@
 			return false
 		}
 		t.attempt = attempt
-		j.ledger.tries = max(j.ledger.tries, attempt)
+		j.ledger.lastAttempt = max(j.ledger.lastAttempt, attempt)
 		if !s.exited() {
 			o.c.admission.found(j, i)
 		}
@@ -288,7 +288,7 @@
 			// holders gave this one out once that was proven gone.
 			o.setRunning(j, i, false)
 			t.attempt = attempt
-			j.ledger.tries = max(j.ledger.tries, attempt)
+			j.ledger.lastAttempt = max(j.ledger.lastAttempt, attempt)
 		} else if attempt != t.attempt || t.machine != s.machine {
 			// Not the replica that counts: its result is ignored.
 			if attempt < t.attempt || t.machine != s.machine {
@@ -399,12 +399,12 @@
 			j.queue = j.queue[1:]
 			continue
 		}
-		if !j.zoneAllows(zone) || !o.c.admission.admit(j, i, j.ledger.tries+1) {
+		if !j.zoneAllows(zone) || !o.c.admission.admit(j, i, j.ledger.lastAttempt+1) {
 			break
 		}
 		j.queue = j.queue[1:]
-		j.ledger.tries++
-		t.attempt, t.session, t.seq = j.ledger.tries, session, seq
+		j.ledger.lastAttempt++
+		t.attempt, t.session, t.seq = j.ledger.lastAttempt, session, seq
 		o.locate(j, i, m, inTransit)
 		picks = append(picks, &meshpb.Pick{Job: j.id, Task: uint32(i), Attempt: t.attempt})
 	}
