--- a/internal/coordination/jobs.go
+++ b/internal/coordination/jobs.go
@@ -138,7 +138,7 @@
 		}
 		g.counted = true
 		l.c.log.Info().Str("ledger", g.name).Int("jobs", len(jobs)).Uint64("revision", revision).Int("reads", g.reads).
-			Dur("after_ms", l.c.now()-l.since).Msg("unfinished jobs read")
+			Int64("after_ms", (l.c.now() - l.since).Milliseconds()).Msg("unfinished jobs read")
 	})
 }
 
--- a/internal/coordination/machine_records.go
+++ b/internal/coordination/machine_records.go
@@ -93,7 +93,7 @@
 			}
 		}
 		l.machinesKnown = true
-		l.c.log.Info().Int("records", len(records)).Uint64("revision", revision).Int("reads", l.recordReads).Dur("after_ms", now-l.since).
+		l.c.log.Info().Int("records", len(records)).Uint64("revision", revision).Int("reads", l.recordReads).Int64("after_ms", (now - l.since).Milliseconds()).
 			Msg("records of machines read")
 	})
 }
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -155,7 +155,7 @@
 			o.c.log.Error().Strs("keys", unread).Msg("records of unknown shape are left alone")
 		}
 		o.c.log.Info().Str("ledger", name).Int("jobs", len(jobs)).Uint64("stamp", stamp).Int("reads", l.records.Reads()).
-			Dur("after_ms", o.c.now()-claimed).Msg("ledger taken up")
+			Int64("after_ms", (o.c.now() - claimed).Milliseconds()).Msg("ledger taken up")
 		for _, j := range l.jobs {
 			o.checkEnd(j)
 		}
--- a/internal/coordination/settlement.go
+++ b/internal/coordination/settlement.go
@@ -86,7 +86,7 @@
 }
 
 func (l *leader) logSettled(g *leaderLedger, machines *[accountings]int, now time.Duration) {
-	l.c.log.Info().Str("ledger", g.name).Str("owner", g.from.member).Dur("after_ms", now-g.joinedAt).
+	l.c.log.Info().Str("ledger", g.name).Str("owner", g.from.member).Int64("after_ms", (now-g.joinedAt).Milliseconds()).
 		Int("reported", machines[accountedReported]).Int("told", machines[accountedTold]).Int("empty", machines[accountedEmpty]).
 		Int("lease_over", machines[accountedLeaseOver]).Int("gone", machines[accountedGone]).Bool("machines_known", l.machinesKnown).
 		Msg("machines accounted for")
