--- a/internal/coordination/evidence.go
+++ b/internal/coordination/evidence.go
@@ -102,21 +102,15 @@
 	if r.Session > t.session {
 		return true, lossLaterSession
 	}
-	if !r.Current {
-		return false, lossNotListed
+	if !r.Current || (r.Same && t.place == onMachine) {
+		return false, lossNotListed // listed as it was before
 	}
-	switch o.c.subscription.absence(m, r, ref.job.ledger) {
-	case absenceProvesNothing:
+	if o.c.subscription.absence(m, r, ref.job.ledger) == absenceProvesNothing {
 		if !r.Same {
 			o.losses.add(int(unprovenAbsence))
 			o.c.log.Debug().Str("job", ref.job.id).Int32("task", ref.task).Uint64("attempt", t.attempt).Msg("a list that may be incomplete lacks a task")
 		}
 		return false, lossNotListed
-	case absenceProvesNoArrival:
-		if t.place != inTransit {
-			return false, lossNotListed
-		}
-	case absenceProvesEnd:
 	}
 	// Of a start on its way only a report that was sent after it says anything.
 	sentBefore := r.Session < t.session || r.Seq <= t.seq
