Leader logs the replicas of unknown jobs that it leaves running

The leader now logs such a replica with machine, job, token, whether it had read the jobs of all shards, and the shard that the decision waits for and since when (at most one line in 5 s). Two counters join the responses in doubt: replicas of unknown jobs left running, and machines whose first response of a leader was sent without looking at what they run. Stop commands are counted by reason. No decision changes: cleanupCommands is divided into functions that give the reason.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -82,6 +82,7 @@
 	cloud        *cloud.Inventory // every member reads the catalog, leader or not
 
 	responseEvents        eventcount.Counter // by responseEvent
+	stopCommands          eventcount.Counter // by stopReason
 	lastPeerHeartbeat     time.Duration
 	lastFinishedTaskFlush time.Duration
 }
@@ -104,6 +105,7 @@
 		peers:          make(map[string]*peer),
 		peerByLink:     make(map[Link]*peer),
 		responseEvents: newResponseEventCounter(),
+		stopCommands:   newStopCounter(),
 	}
 	c.store = storage.NewStore(env.State, env.Clock, codec, c.stateServiceLimits(), c.runLater)
 	for i, p := range cfg.Peers {
@@ -179,6 +181,7 @@
 	c.forwarder.tick(now)
 	c.cloud.Tick(now)
 	c.responseEvents.Log(now, &c.log)
+	c.stopCommands.Log(now, &c.log)
 	if c.leader != nil {
 		c.leader.tick(now)
 	}
--- a/internal/coordination/heartbeats.go
+++ b/internal/coordination/heartbeats.go
@@ -31,7 +31,7 @@
 	}
 	reachable := l.intake.apply(m, heartbeat, connection, now)
 	response := &pendingResponse{machine: m, reply: reply, receivedAt: now, connection: connection, epoch: heartbeat.Epoch, sequence: heartbeat.Seq}
-	response.commands = m.cleanupCommands(&l.shards)
+	response.commands = l.cleanupCommands(m, now)
 	if reachable {
 		l.scheduler.stopTasks(m, response, now)
 		l.scheduler.makeOffers(m, response, now)
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -38,6 +38,7 @@
 	warmPool         warmPool
 	runTimes         estimate.RunTimes
 	images           imageTable
+	unjudgedReplicas unjudgedReplicaLog
 }
 
 const (
@@ -59,7 +60,7 @@
 	now := c.now()
 	l := newLeader(c.leaderEnvironment(), fencingToken, now)
 	for name := range c.election.Shards() {
-		l.shards.add(name)
+		l.shards.add(name).unownedSince = now
 	}
 	l.initScheduling()
 	c.leader = l
--- a/internal/coordination/leader_environment.go
+++ b/internal/coordination/leader_environment.go
@@ -45,6 +45,7 @@
 	cloud     *cloud.Inventory
 	authority authority
 	events    *eventcount.Counter // by responseEvent
+	stops     *eventcount.Counter // by stopReason
 
 	// cachedImages returns the images cached on a machine, as an earlier leader last reported
 	// them to this process.
@@ -69,6 +70,7 @@
 		cloud:               c.cloud,
 		authority:           c.election,
 		events:              &c.responseEvents,
+		stops:               &c.stopCommands,
 		cachedImages:        c.owner.CachedImages,
 		errorResponse:       c.errorResponse,
 	}
--- a/internal/coordination/machine_commands.go
+++ b/internal/coordination/machine_commands.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"time"
+
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 )
@@ -45,11 +47,11 @@
 // not to run or to be kept any more: those of ended, cancelled or unknown jobs, and those that
 // owners named in commands. Replicas of unknown jobs are included only while every shard is
 // registered. The commands are repeated until the machine's list shows them done.
-func (m *machine) cleanupCommands(shards *shardRegistry) []protocol.Command {
+func (l *leader) cleanupCommands(m *machine, now time.Duration) []protocol.Command {
 	if len(m.tasks) == 0 {
 		return nil
 	}
-	allRegistered := shards.allRegistered()
+	allRegistered := l.shards.allRegistered()
 	var commands []protocol.Command
 	for i := range m.tasks {
 		if len(commands) >= maxCleanupCommands {
@@ -57,25 +59,52 @@
 		}
 		replica := &m.tasks[i]
 		command := m.ownerCommands[replica.key]
-		ended := (replica.job == nil && allRegistered) || (replica.job != nil && replica.job.ended)
-		ending := ended || (replica.job != nil && replica.job.cancelling)
-		exited := replica.state == protocol.TaskExited
-		switch {
-		case exited && (ended || (command != nil && command.Reap)):
-			commands = append(commands, replica.newCommand(protocol.CommandReap))
-		case !exited && (ending || (command != nil && !command.Reap)):
-			grace := 0.0
-			if command != nil && !ending {
-				grace = command.GraceS
+		if replica.state == protocol.TaskExited {
+			if replica.isReapable(command, allRegistered) {
+				commands = append(commands, replica.newCommand(protocol.CommandReap))
+			}
+			continue
+		}
+		reason, grace := replica.stopReason(command, allRegistered)
+		if reason == stopNotRequired {
+			if replica.job == nil {
+				l.reportUnjudged(m, replica, now)
 			}
-			stop := replica.newCommand(protocol.CommandStop)
-			stop.GraceS = &grace
-			commands = append(commands, stop)
+			continue
 		}
+		l.env.stops.Add(int(reason))
+		stop := replica.newCommand(protocol.CommandStop)
+		stop.GraceS = &grace
+		commands = append(commands, stop)
 	}
 	return commands
 }
 
+// isReapable reports whether an exited replica's result is not needed any more: its job has
+// ended, or its owner has requested to reap it.
+func (r *replicaOnMachine) isReapable(command *meshpb.MachineCommand, unknownJobsEnded bool) bool {
+	if command != nil && command.Reap {
+		return true
+	}
+	return (r.job == nil && unknownJobsEnded) || (r.job != nil && r.job.ended)
+}
+
+// stopReason returns why a live replica has to stop, and how long it may save its progress, in
+// seconds.
+func (r *replicaOnMachine) stopReason(command *meshpb.MachineCommand, unknownJobsEnded bool) (reason stopReason, graceS float64) {
+	switch {
+	case r.job == nil && unknownJobsEnded:
+		return stopJobUnknown, 0
+	case r.job != nil && r.job.ended:
+		return stopJobEnded, 0
+	case r.job != nil && r.job.cancelling:
+		return stopJobCancelling, 0
+	case command != nil && !command.Reap:
+		return stopOwnerCommand, command.GraceS
+	}
+	return stopNotRequired, 0
+}
+
 // newCommand returns a command for a replica, as it is sent to the machine.
 func (r *replicaOnMachine) newCommand(op string) protocol.Command {
 	return protocol.Command{Op: op, Task: protocol.TaskName(r.key.job, int(r.key.task)), Replica: r.key.replica}
--- a/internal/coordination/response_events.go
+++ b/internal/coordination/response_events.go
@@ -3,7 +3,7 @@
 import "github.com/cobaltvale/cobaltvale/internal/eventcount"
 
 // responseEvent is a rejected heartbeat, a start that was not sent, or a response sent without
-// proof that responses reach the machine.
+// proof that responses reach the machine or without a decision on what the machine runs.
 type responseEvent int
 
 const (
@@ -13,6 +13,8 @@
 	responseNotAuthorized                          // this member may not act as the leader at present
 	startNotSent                                   // a start was bound, and then returned to its owner unsent
 	startDeliveryPresumed                          // offers are made on a presumed delivery, see delivery
+	replicaUnjudged                                // a live replica of an unknown job was left running
+	machineUnjudged                                // a machine that runs replicas got its first response of this leader
 	responseEventCount
 )
 
@@ -31,6 +33,10 @@
 		return "starts_not_sent"
 	case startDeliveryPresumed:
 		return "starts_presumed"
+	case replicaUnjudged:
+		return "replicas_unjudged"
+	case machineUnjudged:
+		return "machines_unjudged"
 	}
 	return "unknown"
 }
@@ -43,3 +49,41 @@
 	}
 	return eventcount.New("heartbeat responses refused or in doubt", names...)
 }
+
+// stopReason is why a machine is told to stop a replica.
+type stopReason int
+
+const (
+	stopJobEnded      stopReason = iota // its job has ended
+	stopJobCancelling                   // its job's user has cancelled it
+	stopJobUnknown                      // no shard has its job
+	stopOwnerCommand                    // its job's owner requested it
+	stopReasonCount
+
+	stopNotRequired stopReason = -1
+)
+
+// String returns a reason's name in logs.
+func (r stopReason) String() string {
+	switch r {
+	case stopJobEnded:
+		return "job_ended"
+	case stopJobCancelling:
+		return "job_cancelling"
+	case stopJobUnknown:
+		return "job_unknown"
+	case stopOwnerCommand:
+		return "owner_command"
+	}
+	return "unknown"
+}
+
+// newStopCounter returns a counter of stop commands, which are repeated with each response until
+// the machine's list shows them done.
+func newStopCounter() eventcount.Counter {
+	var names []string
+	for r := range stopReasonCount {
+		names = append(names, r.String())
+	}
+	return eventcount.New("stop commands sent", names...)
+}
