Replicas of unknown jobs are stopped once every shard's jobs are known

Cause: a stop of a replica whose job the leader does not know waited until every shard had an owner at the moment of the machine's heartbeat. While controllers keep ending, some shard has none at each heartbeat, and nothing bounds the wait.

Change: those reads decide, whether the shards have owners or not. A job that a read of this term lacks has ended: it was written before any start of it was sent, and other leaders' starts were sent before the term began. A read that skipped records of an unknown format no longer counts, so a task described in one is not stopped in its place.

TestTaskOfAJobInAnUnreadableRecordIsNotStopped fails without the new error.

--- a/internal/coordination/cancelled_tasks_test.go
+++ b/internal/coordination/cancelled_tasks_test.go
@@ -1,10 +1,13 @@
 package coordination
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
 	"github.com/cobaltvale/cobaltvale/internal/simtest"
+	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
 // In these tests a user cancels a job whose tasks run for a long time, and controllers keep ending
@@ -60,3 +63,31 @@
 	requireEqual(t, "running tasks of the other job", scenario.runningTasks(), 4)
 	scenario.recoverAndCheck()
 }
+
+// A member of a later version has described the job in a record that the leader can't read.
+func TestTaskOfAJobInAnUnreadableRecordIsNotStopped(t *testing.T) {
+	scenario, lead, owner, _ := newLongJobScenario(t, 9)
+	scenario.State.Put("own/"+owner.Name+"/99", scenario.Codec.Encode("later format"))
+	agent := scenario.Agents["vm-00"]
+	agent.Tasks["wk-99/0#1"] = &simtest.AgentTask{Name: "wk-99/0", Replica: 1, State: "running"}
+	scenario.jobs["wk-99"] = simtest.BatchJob("wk-99", 1)
+	scenario.loseClaims(owner.Name)
+	scenario.Crash(owner.Name)
+	scenario.crashFor(lead.Name, time.Second)
+	scenario.Run(10 * time.Second)
+	if scenario.Leader().Name == owner.Name {
+		t.Fatal("the job's owner leads")
+	}
+	requireEqual(t, "the task runs", slices.Contains(agent.Running(), "wk-99/0"), true)
+}
+
+// loseClaims loses all claims of a shard.
+func (scenario *faultScenario) loseClaims(shard string) {
+	scenario.State.OnTransaction = func(_ string, txn *protocol.Transaction, _ func() storage.Response, done func(storage.Response)) bool {
+		lost := len(txn.Then) == 1 && txn.Then[0].Put == storage.ShardKey(shard)
+		if lost {
+			done(storage.Response{})
+		}
+		return lost
+	}
+}
--- a/internal/coordination/job_summaries.go
+++ b/internal/coordination/job_summaries.go
@@ -8,7 +8,8 @@
 
 // readUnfinishedJobs reads from the state service the unfinished jobs of a shard that no
 // owner has registered yet: all their tasks may be running, and count towards the limits
-// of their teams. It retries until it has read the jobs or an owner has reported them.
+// of their teams. It retries until it has read the jobs or an owner has reported them. A read
+// that skipped records shows nothing about the jobs that it lacks.
 func (l *leader) readUnfinishedJobs(shard *shardState) {
 	shard.readAttempts++
 	l.env.store.UnfinishedJobs(shard.name, func(jobs []storage.RecoveredJob, revision uint64, err error) {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -60,7 +60,7 @@
 	now := c.now()
 	l := newLeader(c.leaderEnvironment(), fencingToken, now)
 	for name := range c.election.Shards() {
-		l.shards.add(name).unownedSince = now
+		l.shards.add(name)
 	}
 	l.initScheduling()
 	c.leader = l
--- a/internal/coordination/leader_churn_test.go
+++ b/internal/coordination/leader_churn_test.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/simtest"
 )
 
 // leaderChurnSeeds is the number of scenarios that TestJobsAreCancelledWhileControllersKeepEnding
@@ -13,7 +16,7 @@
 const leaderChurnSeeds = 48
 
 // Controllers, mostly the leader, end every 1 to 6 s for longer than cancel_s, while users cancel
-// jobs. In every second scenario they cancel all along. A machine sends a heartbeat every 4 s on
+// jobs. In every second scenario they cancel all along. No task of another job may be stopped. A machine sends a heartbeat every 4 s on
 // average, so many of them are the first that a leader receives.
 func TestJobsAreCancelledWhileControllersKeepEnding(t *testing.T) {
 	seeds := leaderChurnSeeds
@@ -38,6 +41,11 @@
 	sim := prepareSimulation(t, "", previousVersion, names...)
 	sim.StartAll()
 	scenario := &leaderChurnScenario{takeoverScenario{newFaultScenarioIn(t, sim, seed, 10)}, make(map[string]time.Duration)}
+	scenario.OnStop = func(agent *simtest.Agent, task *simtest.AgentTask) {
+		if id, _, _ := strings.Cut(task.Name, "/"); !scenario.cancelRequested[id] {
+			t.Fatalf("%s stops %s, whose job nobody has cancelled", agent.Name, task.Name)
+		}
+	}
 	for i := range 9 {
 		scenario.submit(scenario.Nodes[names[i%3]], 2+scenario.rand.IntN(4), "crew", "blue")
 	}
--- a/internal/coordination/machine_commands.go
+++ b/internal/coordination/machine_commands.go
@@ -45,13 +45,17 @@
 
 // cleanupCommands returns the stop and reap commands for the replicas on the machine that are
 // not to run or to be kept any more: those of ended, cancelled or unknown jobs, and those that
-// owners named in commands. Replicas of unknown jobs are included only while every shard is
-// registered. The commands are repeated until the machine's list shows them done.
+// owners named in commands. The commands are repeated until the machine's list shows them done.
+//
+// A replica of an unknown job is included once the unfinished jobs of every shard are known,
+// whether the shards have owners or not. Its job was written before its start was sent, and the
+// start was sent before this term began, because this leader starts tasks of known jobs only. So
+// a job that a read of this term lacks has ended.
 func (l *leader) cleanupCommands(m *machine, now time.Duration) []protocol.Command {
 	if len(m.tasks) == 0 {
 		return nil
 	}
-	allRegistered := l.shards.allRegistered()
+	allJobsKnown := l.shards.allJobsKnown()
 	var commands []protocol.Command
 	for i := range m.tasks {
 		if len(commands) >= maxCleanupCommands {
@@ -60,12 +64,12 @@
 		replica := &m.tasks[i]
 		command := m.ownerCommands[replica.key]
 		if replica.state == protocol.TaskExited {
-			if replica.isReapable(command, allRegistered) {
+			if replica.isReapable(command, allJobsKnown) {
 				commands = append(commands, replica.newCommand(protocol.CommandReap))
 			}
 			continue
 		}
-		reason, grace := replica.stopReason(command, allRegistered)
+		reason, grace := replica.stopReason(command, allJobsKnown)
 		if reason == stopNotRequired {
 			if replica.job == nil {
 				l.reportUnjudged(m, replica, now)
--- a/internal/coordination/shard_registration.go
+++ b/internal/coordination/shard_registration.go
@@ -16,7 +16,6 @@
 	shard := l.shards.get(request.Shard)
 	if shard == nil {
 		shard = l.shards.add(request.Shard)
-		shard.unownedSince = l.now()
 	}
 	if request.Version < shard.version {
 		return
@@ -65,9 +64,6 @@
 // receiver then owns.
 func (l *leader) setShardOwner(shard *shardState, p *peer) {
 	l.shards.setOwner(shard, p)
-	if p == nil {
-		shard.unownedSince = l.now()
-	}
 	l.publisher.setCompleteForShards(l.shards.numbersOwnedBy)
 }
 
--- a/internal/coordination/shard_registry.go
+++ b/internal/coordination/shard_registry.go
@@ -15,7 +15,6 @@
 	link              Link   // the owner's stream at the registration
 	version           uint64 // of the shard's key, as the owner reported it
 	registeredAt      time.Duration
-	unownedSince      time.Duration                 // when it lost its owner, or the term began; meaningful only without an owner
 	reconciled        bool                          // its owner was told of all replicas left of its recovered tasks
 	noUnknownReplicas bool                          // its owner was told that no unknown replica is left
 	jobsKnown         bool                          // its unfinished jobs are known, from its owner or a read
@@ -75,16 +74,16 @@
 	return true
 }
 
-// longestUnowned returns the shard that has been without an owner for the longest time, or nil if
-// every shard has one.
-func (r *shardRegistry) longestUnowned() *shardState {
-	var longest *shardState
+// firstWithUnknownJobs returns, in the order of names, the first shard whose unfinished jobs are
+// not known, or nil.
+func (r *shardRegistry) firstWithUnknownJobs() *shardState {
+	var first *shardState
 	for _, shard := range r.byName {
-		if shard.owner == nil && (longest == nil || shard.unownedSince < longest.unownedSince) {
-			longest = shard
+		if !shard.jobsKnown && (first == nil || shard.name < first.name) {
+			first = shard
 		}
 	}
-	return longest
+	return first
 }
 
 // numbersOwnedBy returns the numbers of the shards that a member has registered, in ascending
--- a/internal/coordination/unjudged_replicas.go
+++ b/internal/coordination/unjudged_replicas.go
@@ -20,17 +20,17 @@
 }
 
 // reportUnjudged counts a live replica that a machine is left to run although the leader does
-// not know its job, and logs the first one in each unjudgedLogInterval with the shard that the
-// decision waits for.
+// not know its job, and logs the first one in each unjudgedLogInterval with a shard whose
+// unfinished jobs the decision waits for.
 func (l *leader) reportUnjudged(m *machine, replica *replicaOnMachine, now time.Duration) {
 	l.countResponse(replicaUnjudged)
 	if !l.unjudgedReplicas.due(now) {
 		return
 	}
 	event := l.env.log.Info().Str("machine", m.name).Str("job", replica.key.job).Uint64("fencing_token", l.fencingToken).
-		Bool("jobs_known", l.shards.allJobsKnown())
-	if shard := l.shards.longestUnowned(); shard != nil {
-		event.Str("shard", shard.name).Int64("unowned_ms", (now - shard.unownedSince).Milliseconds())
+		Int64("term_ms", (now - l.electedAt).Milliseconds())
+	if shard := l.shards.firstWithUnknownJobs(); shard != nil {
+		event.Str("shard", shard.name).Int("reads", shard.readAttempts)
 	}
 	event.Msg("replica of an unknown job left running")
 }
--- a/internal/simtest/agent.go
+++ b/internal/simtest/agent.go
@@ -193,6 +193,9 @@
 			}
 		case c.Op == protocol.CommandStop && task != nil && task.State != "ended":
 			task.State, task.Cause = "ended", "halted"
+			if agent.deployment.OnStop != nil {
+				agent.deployment.OnStop(agent, task)
+			}
 		case c.Op == protocol.CommandReap && task != nil && task.State == "ended":
 			delete(agent.Tasks, key)
 		}
--- a/internal/simtest/deployment.go
+++ b/internal/simtest/deployment.go
@@ -48,6 +48,7 @@
 	MachineLeaseDuration time.Duration                       // lease of machines; lease_s of the settings
 	OnTick               func()                              // called after every tick; may be nil
 	OnStart              func(agent *Agent, task *AgentTask) // called when an agent has started a replica; may be nil
+	OnStop               func(agent *Agent, task *AgentTask) // called when an agent has stopped a live replica by command; may be nil
 	RunsUntilStopped     func(name string) bool              // reports whether a task never completes; nil: none
 	OnTaskDone           func(agent *Agent, name string)     // called when a heartbeat reports a completed task; may be nil
 
--- a/internal/storage/errors.go
+++ b/internal/storage/errors.go
@@ -9,3 +9,7 @@
 // ErrRevisionTooOld reports that the state service no longer has the changes since the revision
 // of a watch. The caller has to list all keys again.
 var ErrRevisionTooOld = errors.New("the revision to watch from is too old")
+
+// ErrUnreadableRecords reports that a read skipped records of an unknown format, so that what it
+// lacks may exist.
+var ErrUnreadableRecords = errors.New("records of an unknown format")
--- a/internal/storage/recovery.go
+++ b/internal/storage/recovery.go
@@ -36,11 +36,16 @@
 	}
 }
 
-// UnfinishedJobs reads the unfinished jobs of a shard that another member holds, as of a
-// revision, without their finished tasks.
+// UnfinishedJobs reads the unfinished jobs of a shard that another member holds, without their
+// finished tasks. revision is that of the first page. The jobs include every one that was
+// accepted before the call and had not ended by the time of its last page: descriptions never
+// move between pages. err is ErrNoAnswer, or ErrUnreadableRecords if jobs may be missing.
 func (s *Store) UnfinishedJobs(shard string, done func(jobs []RecoveredJob, revision uint64, err error)) {
 	s.List(descriptionPagesPrefix(shard), func(items []protocol.KeyValue, revision uint64, err error) {
 		records := decodeDescriptions(s.codec, shard, items)
+		if err == nil && len(records.unreadableKeys) > 0 {
+			err = ErrUnreadableRecords
+		}
 		done(records.unfinishedJobs(), revision, err)
 	})
 }
