Leader reads the jobs of a shard again while it has no owner

Cause: the leader keeps what it knows of a shard's jobs when the shard's owner is gone, until a member registers the shard. The owner may have confirmed a cancellation out of the leader's reach and ended; while its successors end before they register, nothing ends that knowledge, and the leader goes on renewing the lease of machines that run the job's tasks.

Change: while a shard has no owner its unfinished jobs are read every 2 s, at once when the owner is lost, and known jobs that a read lacks have ended. A read is dropped if a member has registered the shard since it began, because the leader may know of later jobs then.

Measured: TestCancelledTaskStopsThoughNoOwnerTellsTheLeader failed before (wk-1/3 on vm-00 40.1 s after the confirmation). TestTaskOfAJobAcceptedAfterTheReadIsNotStopped fails if the late read is not dropped.

--- a/internal/coordination/cancelled_tasks_test.go
+++ b/internal/coordination/cancelled_tasks_test.go
@@ -64,6 +64,22 @@
 	scenario.recoverAndCheck()
 }
 
+// The owner confirms the cancellation out of the leader's reach and ends, and nobody can claim its
+// shard.
+func TestCancelledTaskStopsThoughNoOwnerTellsTheLeader(t *testing.T) {
+	scenario, lead, owner, id := newLongJobScenario(t, 8)
+	scenario.Disconnect(lead.Name, owner.Name)
+	scenario.query(owner, "ABORT", id)
+	scenario.Advance(400 * time.Millisecond)
+	requireEqual(t, "confirmed status", scenario.knownStatus[id], "withdrawn")
+	scenario.crashFor(owner.Name, time.Second)
+	scenario.loseClaims(owner.Name)
+	scenario.Run(cancellationTimeout + 5*time.Second)
+	requireEqual(t, "leader", scenario.Leader().Name, lead.Name)
+	requireEqual(t, "running tasks of the other job", scenario.runningTasks(), 4)
+	scenario.recoverAndCheck()
+}
+
 // A member of a later version has described the job in a record that the leader can't read.
 func TestTaskOfAJobInAnUnreadableRecordIsNotStopped(t *testing.T) {
 	scenario, lead, owner, _ := newLongJobScenario(t, 9)
@@ -81,6 +97,34 @@
 	requireEqual(t, "the task runs", slices.Contains(agent.Running(), "wk-99/0"), true)
 }
 
+// The owner registers its shard, accepts a job and is cut off again before the answer to an earlier
+// read of the shard's jobs reaches the leader.
+func TestTaskOfAJobAcceptedAfterTheReadIsNotStopped(t *testing.T) {
+	scenario, lead, owner, _ := newLongJobScenario(t, 10)
+	scenario.Disconnect(lead.Name, owner.Name)
+	readDelay := time.Second
+	scenario.State.ResponseDelay = func(to string) time.Duration {
+		if to == lead.Name {
+			return readDelay
+		}
+		return 0
+	}
+	scenario.Advance(100 * time.Millisecond) // the leader reads the jobs of the shard
+	readDelay = 0
+	scenario.Connect(lead.Name, owner.Name)
+	scenario.Advance(200 * time.Millisecond)
+	id := scenario.submit(owner, 2)
+	scenario.Advance(400 * time.Millisecond)
+	scenario.sendHeartbeats()
+	requireEqual(t, "running tasks", scenario.runningTasks(), 14)
+	scenario.Disconnect(lead.Name, owner.Name)
+	scenario.Run(time.Second)
+	job := controllerOf(lead).leader.jobs.get(id)
+	requireEqual(t, "the leader takes the job for ended", job == nil || job.ended, false)
+	scenario.Run(2 * time.Second)
+	requireEqual(t, "running tasks", scenario.runningTasks(), 14)
+}
+
 // loseClaims loses all claims of a shard.
 func (scenario *faultScenario) loseClaims(shard string) {
 	scenario.State.OnTransaction = func(_ string, txn *protocol.Transaction, _ func() storage.Response, done func(storage.Response)) bool {
--- a/internal/coordination/job_table.go
+++ b/internal/coordination/job_table.go
@@ -113,8 +113,13 @@
 
 // endOmittedJobs marks as ended the jobs of a shard that its new owner does not list.
 func (t *jobTable) endOmittedJobs(shard *shardState, now time.Duration) {
+	t.endJobsExcept(shard, func(id string) bool { return shard.registrationJobs[id] != nil }, now)
+}
+
+// endJobsExcept marks as ended the jobs of a shard for which unfinished returns false.
+func (t *jobTable) endJobsExcept(shard *shardState, unfinished func(id string) bool, now time.Duration) {
 	for id, job := range shard.jobs {
-		if shard.registrationJobs[id] == nil {
+		if !unfinished(id) {
 			t.markEnded(job, now)
 			job.endedByOmission = true
 		}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -66,9 +66,7 @@
 	c.leader = l
 	c.cloud.StartLeading(l, now)
 	c.subscription.registerShards()
-	for _, shard := range l.shards.byName {
-		l.readUnfinishedJobs(shard)
-	}
+	l.readJobsOfUnownedShards(now)
 	l.loadMachineRecords()
 	c.sendPeerHeartbeats(now)
 }
@@ -121,6 +119,7 @@
 // tick does the periodic work. It is called once in each tickInterval.
 func (l *leader) tick(now time.Duration) {
 	l.sendDueResponses(now)
+	l.readJobsOfUnownedShards(now)
 	mayAct := l.env.authority.MayAct(now)
 	if !mayAct {
 		// Heartbeats are rejected meanwhile, so silence shows nothing.
--- a/internal/coordination/shard_registration.go
+++ b/internal/coordination/shard_registration.go
@@ -44,6 +44,7 @@
 	l.jobs.endOmittedJobs(shard, now)
 	l.setShardOwner(shard, p)
 	shard.version, shard.registeredAt = version, now
+	shard.registrations++
 	shard.reconciled, shard.noUnknownReplicas = false, false
 	l.shards.setJobsKnown(shard)
 	for _, summary := range shard.registrationJobs {
--- a/internal/coordination/shard_registry.go
+++ b/internal/coordination/shard_registry.go
@@ -18,7 +18,10 @@
 	reconciled        bool                          // its owner was told of all replicas left of its recovered tasks
 	noUnknownReplicas bool                          // its owner was told that no unknown replica is left
 	jobsKnown         bool                          // its unfinished jobs are known, from its owner or a read
+	registrations     int                           // how often a member has registered it
 	readAttempts      int                           // reads of its unfinished jobs from the state service
+	readInFlight      bool                          // such a read has no answer yet
+	nextReadAt        time.Duration                 // of the next such read, while it has no owner
 	jobs              map[string]*trackedJob        // the unfinished ones, by id
 	registrationJobs  map[string]*meshpb.JobSummary // of a registration whose last frame has not arrived
 }
