Leader renews a machine's lease only if it can judge what the machine runs

Cause: a check in one path and not in another. Stops were sent only for what the machine table lists, and a heartbeat without the leader's fencing token is not entered there. The next heartbeat follows after half a second at most once in half of lease_s; else after a whole interval, when the next leader may have been elected. And a leader that had not read the jobs of every shard answered 200 all the same, so that the lease, the last means to end a task, never expired.

Change: every list is judged, also that of the first heartbeat. If it may be a late copy, the machine drops the response; and a stop names a replica of a job that has ended, which is right whatever the heartbeat's age. While the leader does not know whether a listed task's job has ended the response waits (placement.offer_wait), and is 503 if that lasts. The counters of unjudged replicas become one of such rejections, job_unknown.

--- a/internal/coordination/cancelled_tasks_test.go
+++ b/internal/coordination/cancelled_tasks_test.go
@@ -64,6 +64,34 @@
 	scenario.recoverAndCheck()
 }
 
+// Each leader ends when it has answered a machine once, so that no heartbeat carries its token.
+func TestCancelledTaskStopsThoughEachLeaderAnswersOneHeartbeat(t *testing.T) {
+	scenario, lead, owner, id := newLongJobScenario(t, 6)
+	scenario.cancelUnseenByMachines(t, lead, owner, id)
+	for end := scenario.Now() + cancellationTimeout + 5*time.Second; scenario.Now() < end; {
+		scenario.Advance(500 * time.Millisecond)
+		leader := scenario.actingLeader()
+		scenario.sendHeartbeats()
+		if leader != nil {
+			scenario.crashFor(leader.Name, time.Second)
+		}
+	}
+	requireEqual(t, "running tasks of the other job", scenario.runningTasks(), 4)
+	scenario.recoverAndCheck()
+}
+
+// The leader can renew its own lease, but can read no shard's jobs.
+func TestMachineLeaseEndsWhileTheLeaderCannotReadTheJobs(t *testing.T) {
+	scenario, lead, owner, id := newLongJobScenario(t, 7)
+	scenario.State.HiddenPrefix = "own/"
+	scenario.cancelUnseenByMachines(t, lead, owner, id)
+	scenario.crashFor(owner.Name, time.Second)
+	scenario.crashFor(scenario.otherNode(lead, owner).Name, time.Second)
+	scenario.Run(cancellationTimeout + 5*time.Second)
+	scenario.State.HiddenPrefix = ""
+	scenario.recoverAndCheck()
+}
+
 // The owner confirms the cancellation out of the leader's reach and ends, and nobody can claim its
 // shard.
 func TestCancelledTaskStopsThoughNoOwnerTellsTheLeader(t *testing.T) {
--- a/internal/coordination/heartbeat_intake.go
+++ b/internal/coordination/heartbeat_intake.go
@@ -47,9 +47,6 @@
 	gap := now - m.lastHeartbeat
 	h.applyHeader(m, heartbeat, now)
 	if heartbeat.FencingToken != h.fencingToken {
-		if heartbeat.RunsAnyTask() {
-			h.countResponse(machineUnjudged)
-		}
 		if m.createdAt != 0 {
 			// The response to its next heartbeat, half a second later, may then carry starts.
 			h.records.requestRecord(m)
--- a/internal/coordination/heartbeats.go
+++ b/internal/coordination/heartbeats.go
@@ -8,7 +8,8 @@
 )
 
 // handleHeartbeat applies a machine's heartbeat and responds to it: at once, or once the
-// owners of pending tasks have answered the offers made for it.
+// owners of pending tasks have answered the offers made for it, or once the leader knows whether
+// all that the machine runs may run.
 func (l *leader) handleHeartbeat(heartbeat *protocol.Heartbeat, connection uint64, now time.Duration, reply func(Response)) {
 	m := l.machines.add(heartbeat.Machine)
 	switch {
@@ -31,12 +32,13 @@
 	}
 	reachable := l.intake.apply(m, heartbeat, connection, now)
 	response := &pendingResponse{machine: m, reply: reply, receivedAt: now, connection: connection, epoch: heartbeat.Epoch, sequence: heartbeat.Seq}
-	response.commands = l.cleanupCommands(m, now)
-	if reachable {
+	response.replicas = l.listedReplicas(m, heartbeat)
+	l.judgeReplicas(response, now)
+	if reachable && !response.unjudged {
 		l.scheduler.stopTasks(m, response, now)
 		l.scheduler.makeOffers(m, response, now)
 	}
-	if len(response.openOffers) == 0 {
+	if len(response.openOffers) == 0 && !response.unjudged {
 		l.sendResponse(response)
 		return
 	}
@@ -44,6 +46,21 @@
 	l.pendingResponses = append(l.pendingResponses, response)
 }
 
+// listedReplicas returns the replicas that a heartbeat lists. Those of a heartbeat without this
+// leader's fencing token are not in the machine table. The heartbeat may be a late copy, but then
+// the machine drops the response, and otherwise it must not renew the lease of a machine that runs
+// tasks of jobs that have ended.
+func (l *leader) listedReplicas(m *machine, heartbeat *protocol.Heartbeat) []replicaOnMachine {
+	if heartbeat.FencingToken == l.fencingToken {
+		return m.tasks
+	}
+	replicas := make([]replicaOnMachine, 0, len(heartbeat.Tasks))
+	for _, status := range heartbeat.Tasks {
+		replicas = append(replicas, replicaOnMachine{key: replicaKey{status.Job, uint32(status.Task), status.Replica}, state: status.State})
+	}
+	return replicas
+}
+
 // schedulable reports whether a machine may be sent starts. It may not if no heartbeat
 // within the silence limit shows that responses reach it: starts sent to it might never
 // arrive.
--- a/internal/coordination/machine_commands.go
+++ b/internal/coordination/machine_commands.go
@@ -43,65 +43,64 @@
 	}
 }
 
-// cleanupCommands returns the stop and reap commands for the replicas on the machine that are
-// not to run or to be kept any more: those of ended, cancelled or unknown jobs, and those that
-// owners named in commands. The commands are repeated until the machine's list shows them done.
+// judgeReplicas decides which of the replicas that a heartbeat lists are not to run or to be kept any
+// more: those of ended, cancelled or unknown jobs, and those that owners named in commands. It sets
+// the response's stop and reap commands, which are repeated until the machine's list shows them done.
 //
-// A replica of an unknown job is included once the unfinished jobs of every shard are known,
-// whether the shards have owners or not. Its job was written before its start was sent, and the
-// start was sent before this term began, because this leader starts tasks of known jobs only. So
-// a job that a read of this term lacks has ended.
-func (l *leader) cleanupCommands(m *machine, now time.Duration) []protocol.Command {
-	if len(m.tasks) == 0 {
-		return nil
-	}
+// A replica of an unknown job has to stop once the unfinished jobs of every shard are known, whether
+// the shards have owners or not. Its job was written before its start was sent, and the start was
+// sent before this term began, because this leader starts tasks of known jobs only. So a job that a
+// read of this term lacks has ended. Until then the response is unjudged.
+func (l *leader) judgeReplicas(response *pendingResponse, now time.Duration) {
+	response.commands, response.unjudged = nil, false
 	allJobsKnown := l.shards.allJobsKnown()
-	var commands []protocol.Command
-	for i := range m.tasks {
-		if len(commands) >= maxCleanupCommands {
+	for i := range response.replicas {
+		if len(response.commands) >= maxCleanupCommands {
 			break // the rest follows with the next response
 		}
-		replica := &m.tasks[i]
-		command := m.ownerCommands[replica.key]
+		replica := &response.replicas[i]
+		job, command := replica.job, response.machine.ownerCommands[replica.key]
+		if job == nil {
+			job = l.jobs.get(replica.key.job) // it may have become known since the heartbeat arrived
+		}
 		if replica.state == protocol.TaskExited {
-			if replica.isReapable(command, allJobsKnown) {
-				commands = append(commands, replica.newCommand(protocol.CommandReap))
+			if isReapable(job, command, allJobsKnown) {
+				response.commands = append(response.commands, replica.newCommand(protocol.CommandReap))
 			}
 			continue
 		}
-		reason, grace := replica.stopReason(command, allJobsKnown)
-		if reason == stopNotRequired {
-			if replica.job == nil {
-				l.reportUnjudged(m, replica, now)
-			}
-			continue
+		reason, grace := stopReasonFor(job, command, allJobsKnown)
+		switch {
+		case reason != stopNotRequired:
+			l.env.stops.Add(int(reason))
+			stop := replica.newCommand(protocol.CommandStop)
+			stop.GraceS = &grace
+			response.commands = append(response.commands, stop)
+		case job == nil:
+			response.unjudged = true
+			l.reportUnjudged(response.machine, replica, now)
 		}
-		l.env.stops.Add(int(reason))
-		stop := replica.newCommand(protocol.CommandStop)
-		stop.GraceS = &grace
-		commands = append(commands, stop)
 	}
-	return commands
 }
 
-// isReapable reports whether an exited replica's result is not needed any more: its job has
-// ended, or its owner has requested to reap it.
-func (r *replicaOnMachine) isReapable(command *meshpb.MachineCommand, unknownJobsEnded bool) bool {
+// isReapable reports whether the result of an exited replica of a job is not needed any more: the
+// job has ended, or its owner has requested to reap the replica. job is nil if it is unknown.
+func isReapable(job *trackedJob, command *meshpb.MachineCommand, unknownJobsEnded bool) bool {
 	if command != nil && command.Reap {
 		return true
 	}
-	return (r.job == nil && unknownJobsEnded) || (r.job != nil && r.job.ended)
+	return (job == nil && unknownJobsEnded) || (job != nil && job.ended)
 }
 
-// stopReason returns why a live replica has to stop, and how long it may save its progress, in
-// seconds.
-func (r *replicaOnMachine) stopReason(command *meshpb.MachineCommand, unknownJobsEnded bool) (reason stopReason, graceS float64) {
+// stopReasonFor returns why a live replica of a job has to stop, and how long it may save its
+// progress, in seconds. job is nil if it is unknown.
+func stopReasonFor(job *trackedJob, command *meshpb.MachineCommand, unknownJobsEnded bool) (reason stopReason, graceS float64) {
 	switch {
-	case r.job == nil && unknownJobsEnded:
+	case job == nil && unknownJobsEnded:
 		return stopJobUnknown, 0
-	case r.job != nil && r.job.ended:
+	case job != nil && job.ended:
 		return stopJobEnded, 0
-	case r.job != nil && r.job.cancelling:
+	case job != nil && job.cancelling:
 		return stopJobCancelling, 0
 	case command != nil && !command.Reap:
 		return stopOwnerCommand, command.GraceS
--- a/internal/coordination/offers.go
+++ b/internal/coordination/offers.go
@@ -168,7 +168,7 @@
 		}
 		response.dropBindings(shard)
 		l.scheduler.offers.closeForLink(response, shard.link)
-		if len(response.openOffers) == 0 {
+		if len(response.openOffers) == 0 && !response.unjudged {
 			l.sendResponse(response)
 		}
 	}
--- a/internal/coordination/pending_responses.go
+++ b/internal/coordination/pending_responses.go
@@ -8,13 +8,15 @@
 )
 
 // pendingResponse is a response to a heartbeat. It is held back while offers made for it await
-// bindings.
+// bindings, and while it is unjudged.
 type pendingResponse struct {
 	machine         *machine
 	reply           func(Response)
 	receivedAt      time.Duration // arrival of the heartbeat
 	connection      uint64        // that the heartbeat arrived on; 0: unknown
 	epoch, sequence uint64
+	replicas        []replicaOnMachine // that the heartbeat lists
+	unjudged        bool               // a live one of them is of an unknown job that may be unfinished
 	commands        []protocol.Command
 	openOffers      []*offer
 	bindings        []shardBinding
@@ -28,7 +30,9 @@
 }
 
 // sendResponse sends a response with the starts that were bound for it. If this member may no
-// longer act or the machine is terminated, it returns the bindings and responds 503.
+// longer act or the machine is terminated, it returns the bindings and responds 503. It also
+// responds 503 if the leader can't tell whether all that the machine runs may run: a 200 would renew
+// the machine's lease, which is the last means to end a cancelled task.
 func (l *leader) sendResponse(response *pendingResponse) {
 	m := response.machine
 	if m.pendingResponse == response {
@@ -43,6 +47,14 @@
 		response.reply(l.env.errorResponse(503, "not entitled to act at present", 1))
 		return
 	}
+	if response.unjudged {
+		l.judgeReplicas(response, now)
+	}
+	if response.unjudged {
+		l.countResponse(responseUnjudged)
+		response.reply(l.env.errorResponse(503, "the jobs of some tasks are not known yet", 1))
+		return
+	}
 	if m.terminating || now-response.receivedAt > responseLifetime/2 {
 		l.returnBindings(response)
 	}
@@ -93,11 +105,13 @@
 	response.reply(l.env.errorResponse(503, "superseded", 1))
 }
 
-// sendDueResponses sends the responses that have waited for bindings longer than OfferWait.
+// sendDueResponses sends the responses that have waited for longer than OfferWait, and those that
+// can be judged now.
 func (l *leader) sendDueResponses(now time.Duration) {
 	remaining := l.pendingResponses[:0]
 	for _, response := range l.pendingResponses {
-		if !response.closed && now-response.receivedAt > l.env.tuning.OfferWait {
+		judgeable := response.unjudged && l.shards.allJobsKnown()
+		if !response.closed && (judgeable || now-response.receivedAt > l.env.tuning.OfferWait) {
 			l.sendResponse(response)
 		}
 		if !response.closed {
--- a/internal/coordination/response_events.go
+++ b/internal/coordination/response_events.go
@@ -3,7 +3,7 @@
 import "github.com/cobaltvale/cobaltvale/internal/eventcount"
 
 // responseEvent is a rejected heartbeat, a start that was not sent, or a response sent without
-// proof that responses reach the machine or without a decision on what the machine runs.
+// proof that responses reach the machine.
 type responseEvent int
 
 const (
@@ -13,8 +13,7 @@
 	responseNotAuthorized                          // this member may not act as the leader at present
 	startNotSent                                   // a start was bound, and then returned to its owner unsent
 	startDeliveryPresumed                          // offers are made on a presumed delivery, see delivery
-	replicaUnjudged                                // a live replica of an unknown job was left running
-	machineUnjudged                                // a machine that runs replicas got its first response of this leader
+	responseUnjudged                               // the machine runs a replica of a job that is unknown and may be unfinished
 	responseEventCount
 )
 
@@ -33,10 +32,8 @@
 		return "starts_not_sent"
 	case startDeliveryPresumed:
 		return "starts_presumed"
-	case replicaUnjudged:
-		return "replicas_unjudged"
-	case machineUnjudged:
-		return "machines_unjudged"
+	case responseUnjudged:
+		return "job_unknown"
 	}
 	return "unknown"
 }
--- a/internal/coordination/unjudged_replicas.go
+++ b/internal/coordination/unjudged_replicas.go
@@ -19,11 +19,9 @@
 	return true
 }
 
-// reportUnjudged counts a live replica that a machine is left to run although the leader does
-// not know its job, and logs the first one in each unjudgedLogInterval with a shard whose
-// unfinished jobs the decision waits for.
+// reportUnjudged logs a live replica whose job the leader does not know, the first one in each
+// unjudgedLogInterval, with a shard whose unfinished jobs the decision waits for.
 func (l *leader) reportUnjudged(m *machine, replica *replicaOnMachine, now time.Duration) {
-	l.countResponse(replicaUnjudged)
 	if !l.unjudgedReplicas.due(now) {
 		return
 	}
@@ -32,5 +30,5 @@
 	if shard := l.shards.firstWithUnknownJobs(); shard != nil {
 		event.Str("shard", shard.name).Int("reads", shard.readAttempts)
 	}
-	event.Msg("replica of an unknown job left running")
+	event.Msg("replica of an unknown job not judged")
 }
--- a/internal/protocol/heartbeat.go
+++ b/internal/protocol/heartbeat.go
@@ -173,16 +173,6 @@
 	Tasks               []TaskStatus
 }
 
-// RunsAnyTask reports whether the heartbeat lists a task that has not exited.
-func (h *Heartbeat) RunsAnyTask() bool {
-	for i := range h.Tasks {
-		if h.Tasks[i].State != TaskExited {
-			return true
-		}
-	}
-	return false
-}
-
 // Validate checks the message and returns it as a Heartbeat. Its error is a *FieldError, or
 // several of them joined.
 func (w *WireHeartbeat) Validate() (*Heartbeat, error) {
