Tracked jobs name their counts and their only type as summaries and selectors do

trackedJob.placed held the summary's field assigned, and onlyMachineType what kindSelector.onlyFittingType returns. Both now have the name of what fills them.

--- a/internal/coordination/job_table.go
+++ b/internal/coordination/job_table.go
@@ -89,7 +89,7 @@
 	t.usage.remove(job) // it was counted with the old spec
 	job.spec, job.team, job.priority = summary, t.usage.teams[summary.Team], protocol.Priority(summary.Priority)
 	job.image = t.images.get(summary.Image, summary.ImageGb)
-	job.onlyMachineType = t.onlyFittingType(summary)
+	job.onlyFittingType = t.onlyFittingType(summary)
 	t.usage.update(job)
 }
 
@@ -99,8 +99,8 @@
 	if int(summary.Pending) > job.pending {
 		t.onPending()
 	}
-	job.pending, job.placed, job.cancelling = int(summary.Pending), int(summary.Assigned), summary.Cancelling
-	job.started = job.started || job.placed > 0
+	job.pending, job.assigned, job.cancelling = int(summary.Pending), int(summary.Assigned), summary.Cancelling
+	job.started = job.started || job.assigned > 0
 	t.usage.update(job)
 }
 
--- a/internal/coordination/kind_selection.go
+++ b/internal/coordination/kind_selection.go
@@ -64,7 +64,7 @@
 // other, and the given job is not one of them. Replicas of services are exempt: they are few,
 // and stay on the machines that were created for them, whatever their type.
 func (s *kindSelector) reservedForOthers(job *trackedJob, typeName string, now time.Duration) bool {
-	return !job.spec.Service && job.onlyMachineType != typeName && s.hasExclusiveNeed(typeName, now)
+	return !job.spec.Service && job.onlyFittingType != typeName && s.hasExclusiveNeed(typeName, now)
 }
 
 // markKindUnavailable records that no machines of a kind should be requested until a time.
--- a/internal/coordination/kind_selection_test.go
+++ b/internal/coordination/kind_selection_test.go
@@ -73,13 +73,13 @@
 func TestTypeIsReservedForJobsThatFitOnNoOther(t *testing.T) {
 	kinds := newKindSelector(testCatalog(), &fleetCounts{})
 	gpuJob := testJob(&meshpb.JobSummary{Cpus: 1, Gpus: 1})
-	gpuJob.onlyMachineType = kinds.onlyFittingType(gpuJob.spec)
-	requireEqual(t, "only type that the GPU job fits on", gpuJob.onlyMachineType, "gpu")
+	gpuJob.onlyFittingType = kinds.onlyFittingType(gpuJob.spec)
+	requireEqual(t, "only type that the GPU job fits on", gpuJob.onlyFittingType, "gpu")
 	array := testJob(&meshpb.JobSummary{Cpus: 1})
 	requireEqual(t, "only type that the array fits on", kinds.onlyFittingType(array.spec), "")
 	service := testJob(&meshpb.JobSummary{Cpus: 1, Service: true})
 
-	kinds.recordExclusiveNeed(gpuJob.onlyMachineType, 0)
+	kinds.recordExclusiveNeed(gpuJob.onlyFittingType, 0)
 	requireEqual(t, "reserved for jobs other than the GPU job", kinds.reservedForOthers(gpuJob, "gpu", 1), false)
 	requireEqual(t, "reserved for jobs other than the array", kinds.reservedForOthers(array, "gpu", 1), true)
 	requireEqual(t, "reserved for jobs other than the service", kinds.reservedForOthers(service, "gpu", 1), false)
--- a/internal/coordination/leader_scheduling.go
+++ b/internal/coordination/leader_scheduling.go
@@ -133,12 +133,12 @@
 // need for that type.
 func (l *leader) observeExclusiveNeeds(now time.Duration) {
 	for job := range l.unfinishedJobs {
-		if job.spec == nil || job.pending+job.placed == 0 {
+		if job.spec == nil || job.pending+job.assigned == 0 {
 			continue
 		}
-		job.onlyMachineType = l.kinds.onlyFittingType(job.spec)
-		if job.onlyMachineType != "" {
-			l.kinds.recordExclusiveNeed(job.onlyMachineType, now)
+		job.onlyFittingType = l.kinds.onlyFittingType(job.spec)
+		if job.onlyFittingType != "" {
+			l.kinds.recordExclusiveNeed(job.onlyFittingType, now)
 		}
 	}
 }
--- a/internal/coordination/pending_queue.go
+++ b/internal/coordination/pending_queue.go
@@ -83,7 +83,7 @@
 	p.collectPending(unfinished, wallMs)
 	p.exclusiveTypes = make(map[string]bool)
 	for _, job := range p.jobs {
-		p.exclusiveTypes[job.onlyMachineType] = true
+		p.exclusiveTypes[job.onlyFittingType] = true
 	}
 	p.byKind = make(map[machineKind]*machineKindQueue)
 	for name, t := range p.catalog.Catalog() {
--- a/internal/coordination/scale_out.go
+++ b/internal/coordination/scale_out.go
@@ -109,5 +109,5 @@
 		return n
 	}
 	sequentialRuns := 1 + slack*queueingSlackShare/run
-	return min(n, max(0, int(math.Ceil(float64(n+job.placed)/sequentialRuns))-job.placed))
+	return min(n, max(0, int(math.Ceil(float64(n+job.assigned)/sequentialRuns))-job.assigned))
 }
--- a/internal/coordination/shard_registration.go
+++ b/internal/coordination/shard_registration.go
@@ -85,7 +85,7 @@
 		l.setShardOwner(shard, nil)
 		shard.registrationJobs = nil
 		for _, job := range shard.jobs {
-			job.placed += job.pending
+			job.assigned += job.pending
 			job.pending = 0
 			l.usage.update(job)
 		}
--- a/internal/coordination/team_usage.go
+++ b/internal/coordination/team_usage.go
@@ -70,7 +70,7 @@
 
 // update adjusts the use of a job's team after the job's task counts have changed.
 func (u *usageAccounting) update(job *trackedJob) {
-	n := job.placed + job.offered
+	n := job.assigned + job.offered
 	if job.ended {
 		n = job.liveReplicas
 	}
--- a/internal/coordination/team_usage_test.go
+++ b/internal/coordination/team_usage_test.go
@@ -16,7 +16,7 @@
 
 func TestTeamUsageFollowsAJob(t *testing.T) {
 	u, job := newTestUsage()
-	job.placed, job.offered = 1, 1
+	job.assigned, job.offered = 1, 1
 	u.update(job)
 	requireEqual(t, "placed and on offer", job.team.cpus, 8)
 	requireEqual(t, "dominant share", job.team.dominantShare(), 1)
@@ -35,7 +35,7 @@
 	all := recoveryProgress{jobsKnown: true, machinesKnown: true}
 	for _, c := range []struct {
 		name         string
-		placed       int
+		assigned     int
 		unreconciled float64
 		progress     recoveryProgress
 		want         bool
@@ -49,7 +49,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			u, job := newTestUsage()
-			job.placed = c.placed
+			job.assigned = c.assigned
 			u.update(job)
 			u.unreconciled.cpus = c.unreconciled
 			requireEqual(t, "within the limit", u.withinLimit(job, c.progress), c.want)
--- a/internal/coordination/tracked_job.go
+++ b/internal/coordination/tracked_job.go
@@ -16,11 +16,11 @@
 	team            *teamUsage
 	priority        protocol.Priority
 	image           *image
-	onlyMachineType string // the only machine type that its tasks fit on; "": none or several
+	onlyFittingType string // the only machine type that its tasks fit on; "": none or several
 
 	// From its owner's summaries.
 	pending         int  // tasks that wait for a machine
-	placed          int  // tasks that are, may be or are about to be on a machine
+	assigned        int  // tasks that are, may be or are about to be on a machine
 	cancelling      bool // its user has cancelled it: no task is started, running ones are stopped
 	started         bool // a task of it has been placed
 	ended           bool
--- a/internal/coordination/warm_pool.go
+++ b/internal/coordination/warm_pool.go
@@ -261,7 +261,7 @@
 
 // sizeForShape raises the target to the headroom for services of a shape.
 func (p *warmPool) sizeForShape(load *serviceLoad, now time.Duration) {
-	job := &trackedJob{spec: load.spec, image: load.image, onlyMachineType: p.kinds.onlyFittingType(load.spec)}
+	job := &trackedJob{spec: load.spec, image: load.image, onlyFittingType: p.kinds.onlyFittingType(load.spec)}
 	// Kinds that are unavailable at present are included: since no machines of them can be
 	// added, the existing ones have to be kept.
 	kind, ok := p.kinds.bestKind(kindQuery{job: job, now: now, includeUnavailable: true})
