--- a/internal/coordination/cancelled_tasks_test.go
+++ b/internal/coordination/cancelled_tasks_test.go
@@ -10,10 +10,6 @@
 	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
-// In these tests a user cancels a job whose tasks run for a long time, and controllers keep ending
-// afterwards, while some leader answers each machine. checkInvariants fails a test if a task of the
-// job is left after cancel_s.
-
 // cancelUnseenByMachines cancels the job at its owner, which confirms it, and crashes the leader
 // before any machine has been told to stop.
 func (scenario *faultScenario) cancelUnseenByMachines(t *testing.T, lead, owner *simtest.Node, id string) {
@@ -92,8 +88,7 @@
 	scenario.recoverAndCheck()
 }
 
-// The owner confirms the cancellation out of the leader's reach and ends, and nobody can claim its
-// shard.
+// The owner confirms the cancellation out of the leader's reach and ends; its shard can't be claimed.
 func TestCancelledTaskStopsThoughNoOwnerTellsTheLeader(t *testing.T) {
 	scenario, lead, owner, id := newLongJobScenario(t, 8)
 	scenario.Disconnect(lead.Name, owner.Name)
@@ -125,8 +120,7 @@
 	requireEqual(t, "the task runs", slices.Contains(agent.Running(), "wk-99/0"), true)
 }
 
-// The owner registers its shard, accepts a job and is cut off again before the answer to an earlier
-// read of the shard's jobs reaches the leader.
+// The answer to a read arrives after its shard was registered, got a job and lost its owner again.
 func TestTaskOfAJobAcceptedAfterTheReadIsNotStopped(t *testing.T) {
 	scenario, lead, owner, _ := newLongJobScenario(t, 10)
 	scenario.Disconnect(lead.Name, owner.Name)
--- a/internal/coordination/leader_churn_test.go
+++ b/internal/coordination/leader_churn_test.go
@@ -1,9 +1,6 @@
 package coordination
 
 import (
-	"fmt"
-	"os"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -15,22 +12,13 @@
 // runs. The environment variable LEADER_CHURN_DAYS overrides it, for long runs by hand.
 const leaderChurnSeeds = 48
 
-// Controllers, mostly the leader, end every 1 to 6 s for longer than cancel_s, while users cancel
-// jobs. In every second scenario they cancel all along. No task of another job may be stopped. A machine sends a heartbeat every 4 s on
-// average, so many of them are the first that a leader receives.
+// A machine sends a heartbeat every 4 s on average, often the first that a leader receives of it.
 func TestJobsAreCancelledWhileControllersKeepEnding(t *testing.T) {
-	seeds := leaderChurnSeeds
-	if n, err := strconv.Atoi(os.Getenv("LEADER_CHURN_DAYS")); err == nil {
-		seeds = n
-	}
-	for seed := range uint64(seeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			runLeaderChurn(t, seed)
-		})
-	}
+	runSeeds(t, "LEADER_CHURN_DAYS", leaderChurnSeeds, runLeaderChurn)
 }
 
+// runLeaderChurn has controllers, mostly the leader, end every 1 to 6 s for longer than cancel_s.
+// Users cancel jobs at the beginning, and with odd seeds all along.
 func runLeaderChurn(t *testing.T, seed uint64) {
 	t.Helper()
 	names := []string{"a", "b", "c"}
--- a/internal/coordination/response_events.go
+++ b/internal/coordination/response_events.go
@@ -40,11 +40,7 @@
 
 // newResponseEventCounter returns a counter of response events.
 func newResponseEventCounter() eventcount.Counter {
-	var names []string
-	for e := range responseEventCount {
-		names = append(names, e.String())
-	}
-	return eventcount.New("heartbeat responses refused or in doubt", names...)
+	return eventcount.New("heartbeat responses refused or in doubt", responseEventCount)
 }
 
 // stopReason is why a machine is told to stop a replica.
@@ -78,9 +74,5 @@
 // newStopCounter returns a counter of stop commands, which are repeated with each response until
 // the machine's list shows them done.
 func newStopCounter() eventcount.Counter {
-	var names []string
-	for r := range stopReasonCount {
-		names = append(names, r.String())
-	}
-	return eventcount.New("stop commands sent", names...)
+	return eventcount.New("stop commands sent", stopReasonCount)
 }
--- a/internal/coordination/takeover_scenarios_test.go
+++ b/internal/coordination/takeover_scenarios_test.go
@@ -19,14 +19,20 @@
 // times a second, and each forwarded status for completeness. Each seed draws its own combination
 // of faults; every fourth has members of the previous version.
 func TestTakeoverScenarios(t *testing.T) {
-	seeds := takeoverSeeds
-	if n, err := strconv.Atoi(os.Getenv("TAKEOVER_DAYS")); err == nil {
+	runSeeds(t, "TAKEOVER_DAYS", takeoverSeeds, runTakeoverScenario)
+}
+
+// runSeeds runs a scenario with the seeds from 0 on, each as a parallel subtest. The environment
+// variable overrides the number of seeds.
+func runSeeds(t *testing.T, variable string, seeds int, run func(*testing.T, uint64)) {
+	t.Helper()
+	if n, err := strconv.Atoi(os.Getenv(variable)); err == nil {
 		seeds = n
 	}
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runTakeoverScenario(t, seed)
+			run(t, seed)
 		})
 	}
 }
--- a/internal/eventcount/counter.go
+++ b/internal/eventcount/counter.go
@@ -5,6 +5,7 @@
 package eventcount
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,9 +22,19 @@
 	nextLogAt time.Duration // on the clock of Log's argument now
 }
 
-// New returns a counter of events whose kinds are the indices of keys. Its log lines have
-// the given message and one field, named by its key, for each kind that occurred.
-func New(message string, keys ...string) Counter {
+// Kind is an enumeration of the kinds of events that a counter counts, with their log keys.
+type Kind interface {
+	~int
+	fmt.Stringer
+}
+
+// New returns a counter of events whose kinds are the values from 0 to count-1. Its log lines have
+// the given message and one field for each kind that occurred.
+func New[K Kind](message string, count K) Counter {
+	var keys []string
+	for kind := range count {
+		keys = append(keys, kind.String())
+	}
 	return Counter{message: message, logKeys: keys, counts: make([]uint64, len(keys))}
 }
 
--- a/internal/shard/loss_proof.go
+++ b/internal/shard/loss_proof.go
@@ -120,5 +120,5 @@
 
 // newLossCounter returns a counter of the replicas that were judged lost, by reason.
 func newLossCounter() eventcount.Counter {
-	return eventcount.New("replicas lost", lossReasonNames[:]...)
+	return eventcount.New("replicas lost", notLost)
 }
