--- a/internal/coordination/heartbeat_intake.go
+++ b/internal/coordination/heartbeat_intake.go
@@ -39,8 +39,9 @@
 
 // apply updates the machine's state from a heartbeat and publishes its status. A heartbeat
 // without this leader's fencing token may be a copy delayed for any length of time, or the
-// machine's first to this leader, so it shows only that the machine may exist. The machine
-// sends its next heartbeat, whose tasks count, half a second after it receives the token.
+// machine's first to this leader, so it shows only that the machine may exist. The tasks of the
+// machine's next heartbeat count. It follows half a second after the machine has received the
+// token, or after a whole interval if a token was the reason for a heartbeat a short time before.
 // apply reports whether the heartbeat shows that responses reach the machine.
 func (h *heartbeatIntake) apply(m *machine, heartbeat *protocol.Heartbeat, connection uint64, now time.Duration) (reachable bool) {
 	newEpoch := m.lastCurrentHeartbeat == 0 || heartbeat.Epoch != m.epoch
--- a/internal/coordination/job_summaries.go
+++ b/internal/coordination/job_summaries.go
@@ -61,7 +61,11 @@
 			l.jobs.apply(shard, recoveredSummary(&jobs[i].Job), now)
 		}
 	}
-	l.jobs.endJobsExcept(shard, func(id string) bool { return unfinished[id] }, now)
+	ended := l.jobs.endJobsExcept(shard, func(id string) bool { return unfinished[id] }, now)
+	if ended > 0 {
+		l.env.log.Info().Str("shard", shard.name).Int("jobs", ended).Uint64("revision", revision).Int("reads", shard.readAttempts).
+			Msg("jobs ended while their shard had no owner")
+	}
 	if shard.jobsKnown {
 		return
 	}
--- a/internal/coordination/job_table.go
+++ b/internal/coordination/job_table.go
@@ -116,14 +116,17 @@
 	t.endJobsExcept(shard, func(id string) bool { return shard.registrationJobs[id] != nil }, now)
 }
 
-// endJobsExcept marks as ended the jobs of a shard for which unfinished returns false.
-func (t *jobTable) endJobsExcept(shard *shardState, unfinished func(id string) bool, now time.Duration) {
+// endJobsExcept marks as ended the jobs of a shard for which unfinished returns false, and returns
+// how many these are.
+func (t *jobTable) endJobsExcept(shard *shardState, unfinished func(id string) bool, now time.Duration) (ended int) {
 	for id, job := range shard.jobs {
 		if !unfinished(id) {
 			t.markEnded(job, now)
 			job.endedByOmission = true
+			ended++
 		}
 	}
+	return ended
 }
 
 // removeTombstones removes jobs that ended more than tombstoneTTL ago, have no live
