--- a/internal/coordination/machine_commands.go
+++ b/internal/coordination/machine_commands.go
@@ -73,9 +73,7 @@
 		switch {
 		case reason != stopNotRequired:
 			l.env.stops.Add(int(reason))
-			stop := replica.newCommand(protocol.CommandStop)
-			stop.GraceS = &grace
-			response.commands = append(response.commands, stop)
+			response.commands = append(response.commands, replica.newStop(grace))
 		case job == nil:
 			response.unjudged = true
 			l.reportUnjudged(response.machine, replica, now)
@@ -108,6 +106,13 @@
 	return stopNotRequired, 0
 }
 
+// newStop returns the command to stop a replica, which may save its progress for graceS seconds.
+func (r *replicaOnMachine) newStop(graceS float64) protocol.Command {
+	stop := r.newCommand(protocol.CommandStop)
+	stop.GraceS = &graceS
+	return stop
+}
+
 // newCommand returns a command for a replica, as it is sent to the machine.
 func (r *replicaOnMachine) newCommand(op string) protocol.Command {
 	return protocol.Command{Op: op, Task: protocol.TaskName(r.key.job, int(r.key.task)), Replica: r.key.replica}
--- a/internal/coordination/scheduler.go
+++ b/internal/coordination/scheduler.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cobaltvale/cobaltvale/internal/priority"
-	"github.com/cobaltvale/cobaltvale/internal/protocol"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 	"github.com/cobaltvale/cobaltvale/internal/settings"
 )
@@ -82,9 +81,7 @@
 			graceS = replica.job.spec.CheckpointDurationS + checkpointMarginS
 		}
 		m.setOwnerCommand(&meshpb.MachineCommand{MachineIndex: m.index, Job: key.job, Task: key.task, Replica: key.replica, GraceS: graceS})
-		stop := replica.newCommand(protocol.CommandStop)
-		stop.GraceS = &graceS
-		r.commands = append(r.commands, stop)
+		r.commands = append(r.commands, replica.newStop(graceS))
 	}
 }
 
