--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -23,11 +23,13 @@
 	length := flag.Duration("for", 60*time.Second, "of the chaos scenario's troubles")
 	flag.Parse()
 	scenarios := map[string]func(*lab, bool) int{
-		"lost-creation":  lostCreation,
-		"odd":            odd,
-		"tiny-tasks":     tinyTasks,
-		"limit-takeover": limitAtTakeover,
-		"chaos":          func(l *lab, trouble bool) int { return chaos(l, *seed, *length, trouble) },
+		"lost-creation":     lostCreation,
+		"service-and-array": serviceAndArray,
+		"tiny-tasks":        tinyTasks,
+		"limit-takeover":    limitAtTakeover,
+		"mass-cancel":       massCancel,
+		"odd":               odd,
+		"chaos":             func(l *lab, trouble bool) int { return chaos(l, *seed, *length, trouble) },
 	}
 	scenario := scenarios[flag.Arg(0)]
 	if scenario == nil {
