--- a/review/lab/tiny.go
+++ b/review/lab/tiny.go
@@ -9,7 +9,7 @@
 
 // tinyTasks: a team's array of four page-render tasks runs, one on a machine. A guest submits one
 // array of 12,000 tasks that take little of a machine each. The team's array is served when its four
-// tasks, of 50 s each, have completed.
+// tasks, of 80 s each, have completed.
 func tinyTasks(l *lab, trouble bool) int {
 	for i := range l.nodes {
 		if err := l.startNode(i); err != nil {
@@ -28,7 +28,7 @@
 		fmt.Println("controllers are not ready")
 		return 2
 	}
-	own := l.addJob(&job{id: "wk-000001", team: "north-desk", tasks: machines, cpus: 8, gb: 70, run: 50 * time.Second})
+	own := l.addJob(&job{id: "wk-000001", team: "north-desk", tasks: machines, cpus: 8, gb: 70, run: 80 * time.Second})
 	if !l.submit(own, 0) || !l.waitStarts(own, machines, 20*time.Second) {
 		fmt.Println("the array did not start")
 		return 2
@@ -56,7 +56,7 @@
 	l.mu.Lock()
 	l.record("%s: %d of %d tasks done, %d starts", own.id, len(own.done), own.tasks, own.starts)
 	if served := len(own.done); served*2 < own.tasks {
-		l.fault("served: %d of the %d tasks of %s are done %.0f s after it was accepted; each takes 50 s, and they were started %d times",
+		l.fault("served: %d of the %d tasks of %s are done %.0f s after it was accepted; each takes 80 s, and they were started %d times",
 			served, own.tasks, own.id, time.Since(own.acceptedAt).Seconds(), own.starts)
 	}
 	l.mu.Unlock()
