Storage logs the outcome of a write that got no answer

Cause: when jobs whose creation lost its answer never ran, nothing told whether the write had been resolved, to what outcome, or after how many attempts. Package storage wrote no log line at all.

A second line says that a batch was found written by an earlier attempt. What is written, when, and what callers are told is unchanged.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -107,7 +107,7 @@
 		responseEvents: newResponseEventCounter(),
 		stopCommands:   newStopCounter(),
 	}
-	c.store = storage.NewStore(env.State, env.Clock, codec, c.stateServiceLimits(), c.runLater)
+	c.store = storage.NewStore(env.State, env.Clock, codec, c.stateServiceLimits(), c.runLater, &c.log)
 	for i, p := range cfg.Peers {
 		c.peers[p.Member] = &peer{member: p.Member, index: i + 1}
 	}
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 )
 
@@ -19,12 +21,13 @@
 type client struct {
 	scheduler
 	codec  *protocol.Codec
+	log    *zerolog.Logger
 	timers []timer
 }
 
 // newClient returns a client whose token buckets are full.
-func newClient(caller Caller, clock Clock, codec *protocol.Codec, limits Limits, runLater func(func())) *client {
-	return &client{scheduler: newScheduler(caller, clock, limits, runLater), codec: codec}
+func newClient(caller Caller, clock Clock, codec *protocol.Codec, limits Limits, runLater func(func()), log *zerolog.Logger) *client {
+	return &client{scheduler: newScheduler(caller, clock, limits, runLater), codec: codec, log: log}
 }
 
 // Now returns the time of the client's monotonic clock.
--- a/internal/storage/fake_caller_test.go
+++ b/internal/storage/fake_caller_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 )
 
@@ -58,6 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	log := zerolog.Nop()
 	caller := &fakeCaller{t: t, codec: codec, now: time.Minute}
-	return caller, newClient(caller, caller, codec, Limits{RPS: 50, WriteRPS: 10, Timeout: time.Second}, func(fn func()) { fn() })
+	return caller, newClient(caller, caller, codec, Limits{RPS: 50, WriteRPS: 10, Timeout: time.Second}, func(fn func()) { fn() }, &log)
 }
--- a/internal/storage/fake_state_service_test.go
+++ b/internal/storage/fake_state_service_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 )
 
@@ -106,8 +108,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	log := zerolog.Nop()
 	s := &fakeStateService{t: t, codec: codec, now: time.Minute, keys: make(map[string][]byte)}
-	store := NewStore(s, s, codec, Limits{RPS: 50, WriteRPS: 10, TxnOps: 4, ValueBytes: 8192, Timeout: time.Second}, func(fn func()) { fn() })
+	store := NewStore(s, s, codec, Limits{RPS: 50, WriteRPS: 10, TxnOps: 4, ValueBytes: 8192, Timeout: time.Second}, func(fn func()) { fn() }, &log)
 	return s, store
 }
 
--- a/internal/storage/fence.go
+++ b/internal/storage/fence.go
@@ -2,19 +2,12 @@
 
 import "github.com/cobaltvale/cobaltvale/internal/protocol"
 
-// rejectionPolicy determines how a fenced write that was not executed is handled.
-type rejectionPolicy uint8
-
-const (
-	reportRejection rejectionPolicy = iota // the outcome is passed to the caller
-	retryRejected                          // the write is sent again after retryDelay
-)
-
 // fence makes the writes of a shard's holder. Each write is a compare-and-swap on the version
 // of the shard's key, so that it is applied only while this process still holds the shard. Once
 // another process holds it, the fence is lost for good.
 type fence struct {
 	client  *client
+	shard   string // name of the shard
 	key     string // of the shard
 	holder  Holder // this process, as named in the key
 	lease   uint64 // lease of the state service to which the key is bound
@@ -23,7 +16,7 @@
 
 	lost             bool
 	resolvingVersion bool     // the version is being determined, see resolveOutcome
-	blockedWrites    []func() // to run once the version is determined
+	blockedWrites    []func() // to continue once the version is determined
 }
 
 // isOpen reports whether writes are sent at once.
@@ -44,46 +37,6 @@
 	f.onLost()
 }
 
-// write sends a transaction, again if necessary, until its outcome is certain. The result is
-// Applied, Conflict (on a key other than the shard's), Invalid, or with reportRejection
-// Rejected.
-func (f *fence) write(class Class, t protocol.Transaction, rejection rejectionPolicy, done func(TxnResult)) {
-	if f.lost {
-		return
-	}
-	retry := func() { f.write(class, t, rejection, done) }
-	if f.resolvingVersion {
-		f.blockedWrites = append(f.blockedWrites, retry)
-		return
-	}
-	sentVersion := f.version
-	fenced := t
-	fenced.If = append([]protocol.Condition{{Key: f.key, Version: sentVersion}}, t.If...)
-	f.client.Txn(class, fenced, func(r TxnResult) {
-		if f.lost {
-			return
-		}
-		switch {
-		case r.Outcome == Unknown:
-			f.blockedWrites = append(f.blockedWrites, retry)
-			f.resolveOutcome()
-		case r.Outcome == Conflict && r.FailedOn(f.key):
-			if f.version != sentVersion {
-				retry() // the outcome of another write was resolved meanwhile, by a new version
-				return
-			}
-			f.blockedWrites = append(f.blockedWrites, retry)
-			f.verifyHolder()
-		case r.Outcome == Rejected && rejection == retryRejected:
-			f.client.After(retryDelay, retry)
-		case r.Outcome == LeaseExpired:
-			f.declareLost()
-		default:
-			done(r)
-		}
-	})
-}
-
 // resolveOutcome ensures that no write of this process that got no answer can still be applied:
 // it gives the shard's key a new version. A write sent under the old version either has been
 // applied by then or never will be.
--- a/internal/storage/job_batch.go
+++ b/internal/storage/job_batch.go
@@ -186,6 +186,7 @@
 		return
 	}
 	if c.alreadyApplied {
+		c.writer.client.log.Info().Str("shard", c.writer.shard).Int("jobs", len(c.batch.operations)).Msg("unanswered job batch found written")
 		c.writer.handleApplied(c.batch)
 		return
 	}
--- a/internal/storage/shard.go
+++ b/internal/storage/shard.go
@@ -24,7 +24,7 @@
 // longer holds the shard.
 func NewShard(store *Store, name string, holder Holder, lease, version uint64, onLost func()) *Shard {
 	c := store.client
-	fence := &fence{client: c, key: ShardKey(name), holder: holder, lease: lease, version: version, onLost: onLost}
+	fence := &fence{client: c, shard: name, key: ShardKey(name), holder: holder, lease: lease, version: version, onLost: onLost}
 	return &Shard{
 		name: name, client: c, fence: fence,
 		jobs:     newJobWriter(c, fence, name),
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 )
 
@@ -18,8 +20,8 @@
 
 // NewStore returns a store. runLater runs a function after the current one has returned, so
 // that no callback runs inside the call that caused it.
-func NewStore(caller Caller, clock Clock, codec *protocol.Codec, limits Limits, runLater func(func())) *Store {
-	s := &Store{client: newClient(caller, clock, codec, limits, runLater)}
+func NewStore(caller Caller, clock Clock, codec *protocol.Codec, limits Limits, runLater func(func()), log *zerolog.Logger) *Store {
+	s := &Store{client: newClient(caller, clock, codec, limits, runLater, log)}
 	s.lookups = jobLookups{client: s.client, byID: make(map[string]*jobLookup)}
 	return s
 }
