A rejected retry is not the outcome of a write whose answer was lost

Cause: fence.write passed on the answer to its last attempt alone. The first attempt had been applied and its answer was lost; the second one was rejected (503 of an outage), and this became the outcome of the write. jobWriter.handleNotExecuted then reported the jobs as not created and dropped them, while their records were in the state service; the next write of their description page removed them there.

Change: once an attempt got no answer, a rejection is followed by another attempt, under either policy. If the service takes a later attempt for invalid, a read of one of the records decides.

Why it works: before the second attempt the shard's key has a new version, so the first one has been applied or never will be. The write then ends only with an answer that tells: applied, or a conflict with the records of the first attempt, which names their nonce.

--- a/internal/coordination/admission_test.go
+++ b/internal/coordination/admission_test.go
@@ -149,6 +149,10 @@
 			scenario.loseTransactions(0.3, false)
 			return scenario.submitRedJobs
 		},
+		"transfers get no answer, and the next ones are rejected": func(scenario *faultScenario) func(int) {
+			scenario.loseTransactionsAndRejectRetries(0.2)
+			return scenario.submitRedJobs
+		},
 		"transfers are repeated":                     repeatTransfers,
 		"watches are seconds behind":                 makeViewsStale,
 		"a holder freezes in a transfer":             pauseHolderInTransfer,
--- a/internal/coordination/concurrent_faults_test.go
+++ b/internal/coordination/concurrent_faults_test.go
@@ -64,6 +64,7 @@
 		"jobs are queried at all controllers as they start, end and are cancelled":     queryAllControllers,
 		"responses to transactions that were applied are lost":                         loseTransactionResponses,
 		"transactions without a response are applied late":                             delayTransactions,
+		"responses to transactions are lost, and the repetitions are rejected":         rejectRetries,
 		"jobs on silent machines are cancelled at a team limit as the leader changes":  cancelAtTeamLimits,
 		"jobs are cancelled while their shard changes owner":                           cancelDuringHandover,
 		"new machines start tasks while writes are slow, and the leader crashes":       startOnNewMachinesDuringSlowWrites,
--- a/internal/coordination/fault_scenario_test.go
+++ b/internal/coordination/fault_scenario_test.go
@@ -365,3 +365,33 @@
 		return true
 	}
 }
+
+// loseTransactionsAndRejectRetries loses the responses to a share of the transactions, which are
+// applied at once, after 2 to 12 s, or never. After each of them most other transactions of the same
+// member are rejected with 503 for up to 4 s. The caller of a lost transaction gets an empty response
+// within 0.3 s.
+func (scenario *faultScenario) loseTransactionsAndRejectRetries(share float64) {
+	rejectUntil := make(map[string]time.Duration)
+	randomDelay := func(limit time.Duration) time.Duration { return time.Duration(scenario.rand.Int64N(int64(limit))) }
+	callAfter := func(delay time.Duration, call func()) {
+		scenario.delayedCalls = append(scenario.delayedCalls, delayedCall{scenario.Now() + delay, call})
+	}
+	scenario.State.OnTransaction = func(from string, _ *protocol.Transaction, apply func() storage.Response, done func(storage.Response)) bool {
+		if scenario.Now() < rejectUntil[from] && scenario.rand.IntN(10) < 7 {
+			done(storage.Response{Status: 503})
+			return true
+		}
+		if scenario.rand.Float64() >= share {
+			return false
+		}
+		rejectUntil[from] = scenario.Now() + randomDelay(4*time.Second)
+		switch scenario.rand.IntN(3) {
+		case 0:
+			apply()
+		case 1:
+			callAfter(2*time.Second+randomDelay(10*time.Second), func() { apply() })
+		}
+		callAfter(randomDelay(300*time.Millisecond), func() { done(storage.Response{}) })
+		return true
+	}
+}
--- a/internal/coordination/fault_scripts_test.go
+++ b/internal/coordination/fault_scripts_test.go
@@ -69,6 +69,27 @@
 	}
 }
 
+// rejectRetries loses the responses to transactions, of which some are applied, and rejects most
+// repetitions. Users repeat the submissions that were not accepted.
+func rejectRetries(scenario *faultScenario) func(int) {
+	scenario.setTaskDurations(2 * time.Second)
+	scenario.loseTransactionsAndRejectRetries(0.2)
+	return func(second int) {
+		scenario.submitRandomJob()
+		for i := range scenario.submittedJobs {
+			if id := fmt.Sprint("wk-", i+1); scenario.knownStatus[id] == "" {
+				scenario.query(scenario.randomNode(), "POST", id)
+			}
+		}
+		if second%3 == 0 {
+			scenario.cancelRandomJobs(1)
+		}
+		if second == 20 {
+			scenario.restart(scenario.Leader().Name)
+		}
+	}
+}
+
 // cancelAtTeamLimits cancels jobs of a team at its limit while some of their machines send no
 // heartbeats or get no responses, crashes the leader and submits more jobs of the team.
 func cancelAtTeamLimits(scenario *faultScenario) func(int) {
--- a/internal/coordination/job_lifecycle_test.go
+++ b/internal/coordination/job_lifecycle_test.go
@@ -98,6 +98,55 @@
 	}
 }
 
+// An accepted job never runs: the transaction that creates it is carried out, its answer is lost,
+// and the second attempt is rejected. The user submits the job again and is told that it is
+// pending, but its owner took the rejection for the outcome and does not know the job. Its next
+// write of the page with the job's description removes that, so that a restart does not help.
+func TestAcceptedJobRunsAlthoughTheRetryOfItsCreationWasRejected(t *testing.T) {
+	for _, ownerRestarts := range []bool{false, true} {
+		t.Run(fmt.Sprint("the owner restarts: ", ownerRestarts), func(t *testing.T) {
+			sim := newSimulation(t, "a", "b", "c")
+			agent := sim.AddMachine("vm-1", "z1")
+			sim.Run(2 * time.Second)
+			owner := sim.Follower()
+			requireEqual(t, "job whose description is on the same page", owner.Submit(simtest.BatchJob("wk-0", 1)).Status, 201)
+			attempts, rejecting := 0, true
+			sim.State.OnTransaction = func(from string, txn *protocol.Transaction, apply func() storage.Response, done func(storage.Response)) bool {
+				if from != owner.Name || len(txn.Then) == 0 || !strings.HasPrefix(txn.Then[0].Put, "job/") {
+					return false
+				}
+				attempts++
+				switch {
+				case attempts == 1:
+					apply()
+					done(storage.Response{})
+				case rejecting:
+					done(storage.Response{Status: 503})
+				default:
+					return false
+				}
+				return true
+			}
+			first := owner.Submit(simtest.BatchJob("wk-1", 1))
+			sim.Run(4 * time.Second)
+			requireEqual(t, "submission during the rejections", first.Status, 503)
+			if attempts < 2 {
+				t.Fatalf("%d attempts to create the job, want at least 2", attempts)
+			}
+			rejecting = false
+			sim.Run(2 * time.Second)
+			requireEqual(t, "submission after the rejections", owner.Submit(simtest.BatchJob("wk-1", 1)).Status, 200)
+			requireEqual(t, "another job", owner.Submit(simtest.BatchJob("wk-2", 1)).Status, 201)
+			if ownerRestarts {
+				sim.Crash(owner.Name)
+				sim.Start(owner.Name)
+			}
+			sim.Run(10 * time.Second)
+			requireEqual(t, "running tasks of the three jobs", len(agent.Running()), 3)
+		})
+	}
+}
+
 func TestOneIDAtTwoNodesIsOneJob(t *testing.T) {
 	sim := newSimulation(t, "a", "b")
 	var held []func()
--- a/internal/storage/fake_state_service_test.go
+++ b/internal/storage/fake_state_service_test.go
@@ -26,6 +26,9 @@
 	// loseAnswer reports whether a transaction gets no answer. It may call apply at once, later
 	// or never.
 	loseAnswer func(apply func()) bool
+	// reject returns the response with which a transaction is rejected instead of being executed,
+	// and whether it is.
+	reject func(t *protocol.Transaction) (Response, bool)
 	// checkPut is called for every value that is written.
 	checkPut func(key string, value []byte)
 }
@@ -58,6 +61,12 @@
 	}
 	s.txnSizes = append(s.txnSizes, len(t.Then))
 	s.totalChanges += len(t.Then)
+	if s.reject != nil {
+		if response, rejected := s.reject(&t); rejected {
+			done(response)
+			return
+		}
+	}
 	if s.loseAnswer != nil && s.loseAnswer(func() { s.apply(&t) }) {
 		done(Response{})
 		return
--- a/internal/storage/fenced_write.go
+++ b/internal/storage/fenced_write.go
@@ -6,7 +6,8 @@
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 )
 
-// rejectionPolicy determines how a fenced write that was not executed is handled.
+// rejectionPolicy determines how a fenced write is handled whose only attempts were not executed.
+// Once an attempt got no answer, the write is sent again after a rejection under either policy.
 type rejectionPolicy uint8
 
 const (
@@ -28,9 +29,15 @@
 	rejected   int           // attempts that were rejected after one that got no answer
 }
 
-// write sends a transaction, again if necessary, until its outcome is certain. The result is
-// Applied, Conflict (on a key other than the shard's), Invalid, or with reportRejection
-// Rejected.
+// write sends a transaction, again if necessary, until its outcome is certain. The outcome is that
+// of all attempts together:
+//
+//   - Applied: an attempt was applied.
+//   - Conflict, on a key other than the shard's: no later attempt can be applied. An earlier one
+//     that got no answer may have been, and then the caller finds its records.
+//   - Rejected (with reportRejection) and Invalid: none was executed, and none will be.
+//   - Unknown: an attempt got no answer, and the service takes a later one for invalid. No attempt
+//     can still be applied; whether one was, the caller has to read.
 func (f *fence) write(class Class, t protocol.Transaction, rejection rejectionPolicy, done func(TxnResult)) {
 	w := &fencedWrite{fence: f, class: class, txn: t, rejection: rejection, done: done, startedAt: f.client.Now()}
 	w.send()
@@ -75,10 +82,12 @@
 		}
 		f.blockedWrites = append(f.blockedWrites, w.send)
 		f.verifyHolder()
-	case r.Outcome == Rejected && w.rejection == retryRejected:
+	case r.Outcome == Rejected && (w.rejection == retryRejected || w.unanswered > 0):
 		f.client.After(retryDelay, w.send)
 	case r.Outcome == LeaseExpired:
 		f.declareLost()
+	case r.Outcome == Invalid && w.unanswered > 0:
+		w.finish(TxnResult{Outcome: Unknown})
 	default:
 		w.finish(r)
 	}
--- a/internal/storage/job_batch.go
+++ b/internal/storage/job_batch.go
@@ -51,6 +51,16 @@
 	b.draftListingEnded[id] = d
 }
 
+// firstCreation returns the first operation that creates a job, or nil.
+func (b *batch) firstCreation() *operation {
+	for i := range b.operations {
+		if b.operations[i].isCreation() {
+			return &b.operations[i]
+		}
+	}
+	return nil
+}
+
 // send writes a batch.
 func (w *jobWriter) send(b *batch) {
 	w.inFlight, w.lastBatchAt = b, w.client.Now()
@@ -64,6 +74,8 @@
 			w.handleApplied(b)
 		case Conflict:
 			w.resolveConflict(b, r)
+		case Unknown:
+			w.resolveUnknown(b)
 		default:
 			w.handleNotExecuted(b)
 		}
@@ -172,13 +184,37 @@
 
 // handleExisting handles the existing record of a job that an operation was to create.
 func (c *conflictResolution) handleExisting(op *operation, record JobRecord) {
-	if record.Shard == c.writer.shard && record.Nonce == op.record.Nonce {
+	if op.wrote(record) {
 		c.alreadyApplied = true
 	}
 	c.existing[op.jobID] = true
 	c.finishRead()
 }
 
+// resolveUnknown determines whether a batch is written, of which an attempt got no answer and none
+// can be applied any more. One of its records tells, since a transaction is atomic. Without
+// creations the batch counts as not executed, as its ends can be written twice.
+func (w *jobWriter) resolveUnknown(b *batch) {
+	creation := b.firstCreation()
+	if creation == nil {
+		w.handleNotExecuted(b)
+		return
+	}
+	w.readJobRecord(creation.jobID, func(record JobRecord) {
+		if creation.wrote(record) {
+			w.handleFoundWritten(b)
+			return
+		}
+		w.handleNotExecuted(b)
+	})
+}
+
+// handleFoundWritten handles a batch that an attempt without an answer has written.
+func (w *jobWriter) handleFoundWritten(b *batch) {
+	w.client.log.Info().Str("shard", w.shard).Int("jobs", len(b.operations)).Msg("unanswered job batch found written")
+	w.handleApplied(b)
+}
+
 // finishRead completes the resolution once all reads are answered.
 func (c *conflictResolution) finishRead() {
 	c.pendingReads--
@@ -186,8 +222,7 @@
 		return
 	}
 	if c.alreadyApplied {
-		c.writer.client.log.Info().Str("shard", c.writer.shard).Int("jobs", len(c.batch.operations)).Msg("unanswered job batch found written")
-		c.writer.handleApplied(c.batch)
+		c.writer.handleFoundWritten(c.batch)
 		return
 	}
 	c.writer.retryWithoutExisting(c.batch, c.existing)
@@ -209,8 +244,8 @@
 	w.flush()
 }
 
-// readJobRecord reads the record of a job that is known to have one. It repeats the read until it
-// succeeds.
+// readJobRecord reads the record of a job; it is the zero value if the job has none. The read is
+// repeated until it succeeds.
 func (w *jobWriter) readJobRecord(id string, done func(JobRecord)) {
 	if w.fence.lost {
 		return
--- a/internal/storage/job_writer.go
+++ b/internal/storage/job_writer.go
@@ -66,6 +66,11 @@
 // isCreation reports whether the operation creates a job.
 func (o *operation) isCreation() bool { return o.description != nil }
 
+// wrote reports whether a job's record is the one that this operation writes to create the job.
+func (o *operation) wrote(record JobRecord) bool {
+	return record.Shard == o.record.Shard && record.Nonce == o.record.Nonce
+}
+
 // isAbandoned reports whether the operation is a creation whose user no longer waits.
 func (o *operation) isAbandoned(now time.Duration) bool {
 	return o.isCreation() && o.deadline > 0 && now > o.deadline
