A rejected retry does not settle a scale-out that got no answer

What would be seen: machines that are rented and not counted until the machine list shows them, while the leader requests as many again.

Cause: the scaler removed a request after a 503 "trouble" of the cloud, although an earlier attempt with the same ID had got no answer and may have created the machines. A 200 that can't be decoded did the same.

Change: such a request stays pending and is sent again with the same ID, at most maxScaleOutAttempts times in all. "no capacity" still ends it, since the cloud repeats the answer of a request that it has carried out.

Evidence: TestUnavailableCloudDoesNotSettleAnUnansweredScaleOut (none, 503, 503, 200) failed before: "there is no unanswered call" after the first 503, as the request was gone; it passes now.

Measured: tests of cloud and coordination pass.

--- a/internal/cloud/scaler.go
+++ b/internal/cloud/scaler.go
@@ -22,7 +22,8 @@
 	// MaxMachinesPerScaleIn is the maximum number of machines that one request releases.
 	MaxMachinesPerScaleIn = 100
 	maxScaleInsInFlight   = 2
-	// maxScaleOutAttempts is how many times a request is sent while its outcome is unknown.
+	// maxScaleOutAttempts is how many times a request is sent while its outcome is unknown. After
+	// that the machine list shows what it created.
 	maxScaleOutAttempts = 20
 
 	statusMalformed   = 400 // HTTP status codes
@@ -94,6 +95,7 @@
 type scaleOut struct {
 	protocol.ScaleOutRequest
 	attempts      int
+	unanswered    bool // an attempt got no usable answer, so the cloud may have created machines
 	inFlight      bool
 	nextAttemptAt time.Duration
 }
@@ -168,48 +170,56 @@
 func (s *Scaler) handleScaleOutResponse(request *scaleOut, response storage.Response) {
 	now := s.inventory.config.Clock.Now()
 	request.inFlight = false
+	settled := true
 	switch response.Status {
 	case statusOK:
-		s.handleCreated(request, response.Body, now)
+		settled = s.handleCreated(request, response.Body, now)
+		request.unanswered = request.unanswered || !settled
 	case statusMalformed:
 		s.observer.KindRejected(request.kind(), MalformedRequest, now+malformedBackoff)
 	case statusUnavailable:
-		s.handleUnavailable(request, response.Body, now)
+		settled = s.handleUnavailable(request, response.Body, now)
 	case statusRateLimited:
 		request.nextAttemptAt = now + RetryDelay
 		return
 	default:
-		// The request may have been carried out; a retry with the same ID shows the outcome.
-		request.nextAttemptAt = now + RetryDelay
-		if request.attempts < maxScaleOutAttempts {
-			return
-		}
+		settled = false
+		request.unanswered = request.unanswered || !response.NotSent
 	}
-	s.removeScaleOut(request)
+	if settled || request.attempts >= maxScaleOutAttempts {
+		s.removeScaleOut(request)
+		return
+	}
+	// The request may have been carried out; a retry with the same ID shows the outcome.
+	request.nextAttemptAt = now + RetryDelay
 }
 
-// handleCreated handles the names of new machines. Fewer than requested mean that the cloud has no
-// more machines of the kind.
-func (s *Scaler) handleCreated(request *scaleOut, body []byte, now time.Duration) {
+// handleCreated handles the names of new machines, and reports whether it can read them. Fewer than
+// requested mean that the cloud has no more machines of the kind.
+func (s *Scaler) handleCreated(request *scaleOut, body []byte, now time.Duration) (settled bool) {
 	var created protocol.MachineNames
 	if s.inventory.config.Codec.Decode(body, &created) != nil {
-		return
+		return false
 	}
 	s.observer.MachinesCreated(request.kind(), created.Machines, now)
 	if len(created.Machines) < request.Count {
 		s.observer.KindRejected(request.kind(), NoCapacity, now+CapacityBackoff)
 	}
+	return true
 }
 
 // handleUnavailable distinguishes between a cloud that has no machines of a kind and one that
-// accepts no calls at present.
-func (s *Scaler) handleUnavailable(request *scaleOut, body []byte, now time.Duration) {
+// accepts no calls at present. It reports whether the request has its final response: a cloud that
+// accepts no calls says nothing about an earlier attempt that got no answer, while one that has no
+// machines would have repeated the answer to an attempt that it had carried out.
+func (s *Scaler) handleUnavailable(request *scaleOut, body []byte, now time.Duration) (settled bool) {
 	var response protocol.ErrorBody
 	if s.inventory.config.Codec.Decode(body, &response) == nil && response.Error == noCapacity {
 		s.observer.KindRejected(request.kind(), NoCapacity, now+CapacityBackoff)
-		return
+		return true
 	}
 	s.blockedUntil = now + RetryDelay
+	return !request.unanswered
 }
 
 func (s *Scaler) removeScaleOut(request *scaleOut) {
--- a/internal/cloud/scaler_test.go
+++ b/internal/cloud/scaler_test.go
@@ -94,6 +94,27 @@
 	}
 }
 
+// Machines that were rented are requested once more: the answer to a request is lost, the cloud is
+// unavailable to its retry, and the request is dropped although the cloud has carried it out.
+func TestUnavailableCloudDoesNotSettleAnUnansweredScaleOut(t *testing.T) {
+	f, scaler, events := newScalerFixture(t)
+	scaler.QueueScaleOut(Kind{"m8", "z1", true}, 2)
+	for _, status := range []int{0, 503, 503} {
+		scaler.SendScaleOuts(f.api.now)
+		f.answer(status, protocol.ErrorBody{Error: "trouble"})
+		f.api.now += RetryDelay
+	}
+	if got := scaler.pendingMachines(); got != 2 {
+		t.Fatalf("%d machines are pending after the rejections, want 2", got)
+	}
+	scaler.SendScaleOuts(f.api.now)
+	f.answer(200, protocol.MachineNames{Machines: []string{"a", "b"}})
+	wantEvents(t, events, "created m8 a b")
+	if got := scaler.pendingMachines(); got != 0 {
+		t.Fatalf("%d machines are pending after the answer, want 0", got)
+	}
+}
+
 func TestUnknownOutcomeIsDroppedAfterMaxAttempts(t *testing.T) {
 	f, scaler, _ := newScalerFixture(t)
 	scaler.QueueScaleOut(Kind{"m8", "z1", false}, 1)
