A machine record whose write got no answer is written again under its key

What would be seen: recovered tasks start later after a change of leader.

Cause: the recorder took a write without an answer for failed and recorded the machines under the next key. If the first write had been applied, its record stayed when the machines were gone, and the next leader waited for a proof about them.

Change: such a write is repeated with the same key and names until it is answered; a rejection of the repetition does not end it. Stored bytes and requests are unchanged.

Evidence: TestUnansweredMachineRecordIsRemovedWithItsMachines failed before ("machine records: got 1, want 0"), as did TestUnansweredMachineRecordIsWrittenAgainUnderItsKey ("got record-2: vm-1 vm-2, want record-1: vm-1").

Tests of storage and coordination pass.

--- a/internal/coordination/machine_records.go
+++ b/internal/coordination/machine_records.go
@@ -35,14 +35,31 @@
 	fencingToken uint64
 	maxBytes     int // limit of one record's size
 
-	unrecorded     []*machine
-	nextWrite      time.Duration
-	writing        bool
-	recordsWritten int // writes of new records so far, including failed ones; numbers the records
-	rewriting      bool
-	loadAttempts   int  // reads of the earlier leaders' records
-	loaded         bool // see machinesKnown
-	stopped        bool
+	unrecorded   []*machine
+	nextWrite    time.Duration
+	writing      bool
+	unanswered   *recordWrite // the write to repeat, as an attempt got no answer; nil: none
+	recordCount  int          // new records so far, including those that were not written; numbers the records
+	rewriting    bool
+	loadAttempts int  // reads of the earlier leaders' records
+	loaded       bool // see machinesKnown
+	stopped      bool
+}
+
+// recordWrite is the write of a new record.
+type recordWrite struct {
+	number   int // of the record in this term
+	machines []*machine
+}
+
+// names returns the sorted names of the machines.
+func (w *recordWrite) names() []string {
+	names := make([]string, 0, len(w.machines))
+	for _, m := range w.machines {
+		names = append(names, m.name)
+	}
+	sort.Strings(names)
+	return names
 }
 
 // loadedRecords is the result of a read of all machine records.
@@ -107,31 +124,51 @@
 // is in flight. A machine is requested only once it has sent a heartbeat: one that has not
 // booted holds no task, and the next leader need not wait for it.
 func (r *machineRecorder) writeIfDue(now time.Duration) {
-	if r.writing || len(r.unrecorded) == 0 || now < r.nextWrite {
+	if r.writing || now < r.nextWrite {
 		return
 	}
-	batch := r.takeBatch()
-	names := make([]string, 0, len(batch))
-	for _, m := range batch {
-		names = append(names, m.name)
+	write := r.unanswered
+	if write == nil {
+		write = r.nextRecord()
+	}
+	if write == nil {
+		return
 	}
-	sort.Strings(names)
 	r.writing, r.nextWrite = true, now+recordInterval
-	r.recordsWritten++
-	r.store.RecordMachines(r.fencingToken, r.recordsWritten, names, func(key string, result storage.TxnResult) {
-		if r.stopped {
-			return
-		}
-		r.writing = false
-		for _, m := range batch {
-			m.recordPending = false // after a failed write its next heartbeat requests it again
-			if result.Outcome == storage.Applied {
-				m.recordKey = key
-			}
+	r.store.RecordMachines(r.fencingToken, write.number, write.names(), func(key string, result storage.TxnResult) {
+		if !r.stopped {
+			r.handleWritten(write, key, result.Outcome)
 		}
 	})
 }
 
+// nextRecord returns the write of a record of machines that are requested, or nil.
+func (r *machineRecorder) nextRecord() *recordWrite {
+	if len(r.unrecorded) == 0 {
+		return nil
+	}
+	r.recordCount++
+	return &recordWrite{number: r.recordCount, machines: r.takeBatch()}
+}
+
+// handleWritten handles the outcome of an attempt to write a record. Once an attempt got no answer,
+// the record may exist, and only under its own key is it rewritten when machines are gone. So a
+// rejection is not taken for the outcome then.
+func (r *machineRecorder) handleWritten(write *recordWrite, key string, outcome storage.Outcome) {
+	r.writing = false
+	if outcome == storage.Unknown || (outcome == storage.Rejected && r.unanswered == write) {
+		r.unanswered = write
+		return
+	}
+	r.unanswered = nil
+	for _, m := range write.machines {
+		m.recordPending = false // after a failed write its next heartbeat requests it again
+		if outcome == storage.Applied {
+			m.recordKey = key
+		}
+	}
+}
+
 // takeBatch removes and returns as many of the requested machines as fit into one record.
 func (r *machineRecorder) takeBatch() []*machine {
 	count, size := 0, 0
--- a/internal/coordination/machine_records_test.go
+++ b/internal/coordination/machine_records_test.go
@@ -6,9 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/cobaltvale/cobaltvale/internal/protocol"
+	"github.com/cobaltvale/cobaltvale/internal/simtest"
 	"github.com/cobaltvale/cobaltvale/internal/storage"
 )
 
+const machineRecordPrefix = "fleet/" // of the keys in the state service
+
 // fakeRecordStore holds calls until the test completes them.
 type fakeRecordStore struct {
 	writes        []string
@@ -72,6 +76,60 @@
 	requireEqual(t, "write after it is requested again", store.writes[len(store.writes)-1], "record-3: vm-2")
 }
 
+// A record stays after its machines are gone, and makes the next leader wait for them: the answer to
+// its write is lost, the machines are recorded under another key, and only that record is rewritten.
+func TestUnansweredMachineRecordIsWrittenAgainUnderItsKey(t *testing.T) {
+	for name, retries := range map[string][]storage.Outcome{
+		"answered at the second attempt": {storage.Unknown, storage.Applied},
+		"rejected after that":            {storage.Unknown, storage.Rejected, storage.Unknown, storage.Rejected, storage.Applied},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, store := newTestRecorder(1000)
+			first, second := r.machines.add("vm-1"), r.machines.add("vm-2")
+			r.requestRecord(first)
+			now := time.Minute
+			for attempt, outcome := range retries {
+				r.writeIfDue(now)
+				requireEqual(t, "writes", len(store.writes), attempt+1)
+				requireEqual(t, "write", store.writes[attempt], "record-1: vm-1")
+				store.complete(outcome)
+				r.requestRecord(first) // by its next heartbeat
+				r.requestRecord(second)
+				now += recordInterval
+			}
+			requireEqual(t, "record", first.recordKey, "record-1")
+			r.writeIfDue(now)
+			requireEqual(t, "next write", store.writes[len(store.writes)-1], "record-2: vm-2")
+		})
+	}
+}
+
+// A record names a machine that is gone, for which the next leader then waits: the answer to its write
+// was lost, and the leader, which did not know the record, could not remove it with the machine.
+func TestUnansweredMachineRecordIsRemovedWithItsMachines(t *testing.T) {
+	sim := newSimulation(t, "a", "b", "c")
+	lost := false
+	sim.State.OnTransaction = func(_ string, txn *protocol.Transaction, apply func() storage.Response, done func(storage.Response)) bool {
+		if lost || len(txn.Then) == 0 || !strings.HasPrefix(txn.Then[0].Put, machineRecordPrefix) {
+			return false
+		}
+		lost = true
+		apply()
+		done(storage.Response{})
+		return true
+	}
+	agent := sim.AddMachine("vm-1", "z1")
+	sim.Run(2 * time.Second)
+	requireEqual(t, "submission", sim.Follower().Submit(simtest.BatchJob("wk-1", 2)).Status, 201)
+	sim.Run(5 * time.Second)
+	requireEqual(t, "running tasks", len(agent.Running()), 2)
+	sim.FinishAllTasks()
+	sim.Run(200 * time.Second)
+	requireEqual(t, "lost answers", lost, true)
+	requireEqual(t, "machines", len(sim.Agents), 0)
+	requireEqual(t, "machine records", len(sim.State.Page(machineRecordPrefix, "", 10).Items), 0)
+}
+
 func TestMachineRecordsAreReadUntilLoaded(t *testing.T) {
 	r, store := newTestRecorder(1000)
 	var loaded []loadedRecords
--- a/internal/storage/machine_records.go
+++ b/internal/storage/machine_records.go
@@ -2,15 +2,18 @@
 
 import "github.com/cobaltvale/cobaltvale/internal/protocol"
 
-// RecordMachines writes the names of machines that may be given tasks under a new key. The
-// write is applied only while the leader key has the fencing token as its version.
+// RecordMachines writes the names of machines that may be given tasks under a new key, which the
+// fencing token and the number determine. The write is applied only while the leader key has the
+// fencing token as its version. One that gets no answer may be repeated with the same names.
 func (s *Store) RecordMachines(fencingToken uint64, number int, names []string, done func(key string, r TxnResult)) {
 	key := machineRecordKey(fencingToken, number)
 	change := protocol.Change{Put: key, Value: s.codec.Encode(names)}
 	s.writeAsLeader(Foreground, fencingToken, change, func(r TxnResult) { done(key, r) })
 }
 
-// RewriteMachineRecord reduces a record to the given machines, or deletes it if there are none.
+// RewriteMachineRecord reduces a record to the given machines, or deletes it if there are none. An
+// earlier write of the record that got no answer may be applied afterwards; the record then names
+// machines again that are gone.
 func (s *Store) RewriteMachineRecord(fencingToken uint64, key string, names []string, done func(TxnResult)) {
 	change := protocol.Change{Put: key, Value: s.codec.Encode(names)}
 	if len(names) == 0 {
