--- a/internal/coordination/fault_scenario_test.go
+++ b/internal/coordination/fault_scenario_test.go
@@ -310,6 +310,7 @@
 	clear(scenario.State.StalledWatches)
 	scenario.loseTransactions(0, true)
 	scenario.Cloud.RejectsScaleOut, scenario.Cloud.LosesResponses, scenario.Cloud.RejectsRelease = false, false, false
+	scenario.Cloud.Unavailable = false
 	scenario.crashOnConfirmedCancellation = false
 	scenario.restoreAll()
 	for _, agent := range scenario.Agents {
@@ -366,6 +367,15 @@
 	}
 }
 
+// resubmitUnknownJobs repeats the submissions that no node has accepted, each at a random node.
+func (scenario *faultScenario) resubmitUnknownJobs() {
+	for i := range scenario.submittedJobs {
+		if id := fmt.Sprint("wk-", i+1); scenario.knownStatus[id] == "" {
+			scenario.query(scenario.randomNode(), "POST", id)
+		}
+	}
+}
+
 // loseTransactionsAndRejectRetries loses the responses to a share of the transactions, which are
 // applied at once, after 2 to 12 s, or never. After each of them most other transactions of the same
 // member are rejected with 503 for up to 4 s. The caller of a lost transaction gets an empty response
--- a/internal/coordination/fault_scripts_test.go
+++ b/internal/coordination/fault_scripts_test.go
@@ -76,11 +76,7 @@
 	scenario.loseTransactionsAndRejectRetries(0.2)
 	return func(second int) {
 		scenario.submitRandomJob()
-		for i := range scenario.submittedJobs {
-			if id := fmt.Sprint("wk-", i+1); scenario.knownStatus[id] == "" {
-				scenario.query(scenario.randomNode(), "POST", id)
-			}
-		}
+		scenario.resubmitUnknownJobs()
 		if second%3 == 0 {
 			scenario.cancelRandomJobs(1)
 		}
--- a/internal/simtest/cloud.go
+++ b/internal/simtest/cloud.go
@@ -23,6 +23,7 @@
 	ExtraMachineTypes     []protocol.MachineType // types in addition to m8
 	LosesResponses        bool                   // carries out scale-out requests without an answer
 	RejectsRelease        bool                   // answers releases with 503
+	Unavailable           bool                   // answers all calls with 503
 	MaxMachinesPerRequest int                    // machines that one scale-out request gets; 0: all
 	ReleaseSizes          []int                  // number of machines in each release
 	StaleList             []CloudMachine         // listed in place of Machines, unless nil
@@ -56,6 +57,8 @@
 	case !c.allowCall():
 		c.rateLimitedCalls++
 		answer(http.StatusTooManyRequests, protocol.ErrorBody{Error: "too many requests"})
+	case c.Unavailable:
+		answer(http.StatusServiceUnavailable, protocol.ErrorBody{Error: "trouble"})
 	case path == "/catalog":
 		answer(http.StatusOK, protocol.Catalog{Types: append([]protocol.MachineType{defaultMachineType}, c.ExtraMachineTypes...)})
 	case path == "/hosts" && method == "POST":
