Results of lookups, renewals and reads of machine records are typed; one lookup for status and cancellation

Cause: three callbacks of storage got pairs of bools, so that "not found", "no answer" and "unreadable" had to be told apart by position, and API.Cancel and answerFromRecord each had the same switch over them.

Change: JobLookupResult (with ErrNoAnswer or ErrUnreadableRecords), LeaseRenewal and an error for MachineRecords. API.lookupUnfinished serves both callers. No behaviour changes; in the tests only the types of the stubs do.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -62,8 +62,8 @@
 type Records interface {
 	// LookupJob reads a job's current record: the read begins after this call, and is not sent
 	// if it has not begun by the deadline. known is the record that an earlier read returned,
-	// or the zero value. ok is false if the result is not certain.
-	LookupJob(id string, known storage.VersionedJobRecord, deadline time.Duration, done func(record storage.VersionedJobRecord, found, ok bool))
+	// or the zero value.
+	LookupJob(id string, known storage.VersionedJobRecord, deadline time.Duration, done func(storage.JobLookupResult))
 	// Fits reports whether a job's specification is within the size limit of a value.
 	Fits(job *protocol.Job) bool
 	// Failing reports whether the last request to the state service was rejected as unavailable
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -48,9 +48,13 @@
 	done(s.createResult)
 }
 
-func (s *stubs) LookupJob(_ string, _ storage.VersionedJobRecord, _ time.Duration, done func(storage.VersionedJobRecord, bool, bool)) {
+func (s *stubs) LookupJob(_ string, _ storage.VersionedJobRecord, _ time.Duration, done func(storage.JobLookupResult)) {
 	s.lookups++
-	done(s.record, s.found, s.lookupOK)
+	result := storage.JobLookupResult{Record: s.record, Found: s.found}
+	if !s.lookupOK {
+		result = storage.JobLookupResult{Err: storage.ErrNoAnswer}
+	}
+	done(result)
 }
 
 func (s *stubs) SendJobQuery(_ string, query *meshpb.JobQuery) {
--- a/internal/api/cancellation.go
+++ b/internal/api/cancellation.go
@@ -24,19 +24,8 @@
 		api.cancelOwned(job, reply)
 		return
 	}
-	deadline := api.now() + submitTimeout
-	api.config.Records.LookupJob(id, api.config.Statuses.records[id], deadline, func(record storage.VersionedJobRecord, found, ok bool) {
-		switch {
-		case !ok:
-			reply(api.responder.reject(rejectedStateUnavailable))
-		case !found:
-			reply(api.responder.reject(rejectedUnknownJob))
-		case record.Status != "":
-			api.config.Statuses.AddFinal(id, record.Status, record.Tasks)
-			reply(api.responder.finalJobStatus(id, finalStatus{record.Status, record.Tasks}))
-		default:
-			api.cancelUnfinished(id, record, reply)
-		}
+	api.lookupUnfinished(id, submitTimeout, rejectedUnknownJob, reply, func(record storage.VersionedJobRecord) {
+		api.cancelUnfinished(id, record, reply)
 	})
 }
 
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/cobaltvale/cobaltvale/internal/protocol"
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
@@ -68,21 +69,29 @@
 // answerFromRecord reads a job's current record and answers from it, or calls onUnfinished if the
 // job is unfinished.
 func (api *API) answerFromRecord(id string, absent rejection, reply func(Response), onUnfinished func(storage.VersionedJobRecord)) {
-	deadline := api.now() + StatusTimeout
-	api.config.Records.LookupJob(id, api.config.Statuses.records[id], deadline, func(record storage.VersionedJobRecord, found, ok bool) {
+	api.lookupUnfinished(id, StatusTimeout, absent, reply, func(record storage.VersionedJobRecord) {
+		api.config.Statuses.addRecord(id, record)
+		if !api.answerFromMemory(id, reply) {
+			onUnfinished(record)
+		}
+	})
+}
+
+// lookupUnfinished reads a job's current record and calls onUnfinished if the job is unfinished.
+// Otherwise it answers: with the final status, with absent if there is no record, or with a rejection
+// if the read fails. The read is not sent if it has not begun within maxWait.
+func (api *API) lookupUnfinished(id string, maxWait time.Duration, absent rejection, reply func(Response), onUnfinished func(storage.VersionedJobRecord)) {
+	api.config.Records.LookupJob(id, api.config.Statuses.records[id], api.now()+maxWait, func(r storage.JobLookupResult) {
 		switch {
-		case !ok:
+		case r.Err != nil:
 			reply(api.responder.reject(rejectedStateUnavailable))
-		case !found:
+		case !r.Found:
 			reply(api.responder.reject(absent))
-		case record.Status != "":
-			api.config.Statuses.AddFinal(id, record.Status, record.Tasks)
-			reply(api.responder.finalJobStatus(id, finalStatus{record.Status, record.Tasks}))
+		case r.Record.Status != "":
+			api.config.Statuses.AddFinal(id, r.Record.Status, r.Record.Tasks)
+			reply(api.responder.finalJobStatus(id, finalStatus{r.Record.Status, r.Record.Tasks}))
 		default:
-			api.config.Statuses.addRecord(id, record)
-			if !api.answerFromMemory(id, reply) {
-				onUnfinished(record)
-			}
+			onUnfinished(r.Record)
 		}
 	})
 }
--- a/internal/coordination/machine_records.go
+++ b/internal/coordination/machine_records.go
@@ -17,7 +17,7 @@
 type machineRecordStore interface {
 	RecordMachines(fencingToken uint64, number int, names []string, done func(key string, r storage.TxnResult))
 	RewriteMachineRecord(fencingToken uint64, key string, names []string, done func(storage.TxnResult))
-	MachineRecords(done func(records map[string][]string, revision uint64, ok bool))
+	MachineRecords(done func(records map[string][]string, revision uint64, err error))
 	After(delay time.Duration, fn func())
 }
 
@@ -81,11 +81,11 @@
 // read succeeds, then calls done.
 func (r *machineRecorder) load(done func(loadedRecords)) {
 	r.loadAttempts++
-	r.store.MachineRecords(func(records map[string][]string, revision uint64, ok bool) {
+	r.store.MachineRecords(func(records map[string][]string, revision uint64, err error) {
 		if r.stopped {
 			return
 		}
-		if !ok {
+		if err != nil {
 			r.store.After(stateRetryInterval, func() {
 				if !r.stopped {
 					r.load(done)
--- a/internal/coordination/machine_records_test.go
+++ b/internal/coordination/machine_records_test.go
@@ -17,7 +17,7 @@
 type fakeRecordStore struct {
 	writes        []string
 	pendingWrites []func(storage.TxnResult)
-	pendingReads  []func(map[string][]string, uint64, bool)
+	pendingReads  []func(map[string][]string, uint64, error)
 	delayedCalls  []func()
 }
 
@@ -32,7 +32,7 @@
 	s.pendingWrites = append(s.pendingWrites, done)
 }
 
-func (s *fakeRecordStore) MachineRecords(done func(map[string][]string, uint64, bool)) {
+func (s *fakeRecordStore) MachineRecords(done func(map[string][]string, uint64, error)) {
 	s.pendingReads = append(s.pendingReads, done)
 }
 
@@ -134,10 +134,10 @@
 	r, store := newTestRecorder(1000)
 	var loaded []loadedRecords
 	r.load(func(l loadedRecords) { loaded = append(loaded, l) })
-	store.pendingReads[0](nil, 0, false)
+	store.pendingReads[0](nil, 0, storage.ErrNoAnswer)
 	requireEqual(t, "machines known after a failed read", r.machinesKnown(), false)
 	store.delayedCalls[0]()
-	store.pendingReads[1](map[string][]string{"record-9": {"vm-1", "vm-2"}}, 5, true)
+	store.pendingReads[1](map[string][]string{"record-9": {"vm-1", "vm-2"}}, 5, nil)
 	requireEqual(t, "machines known", r.machinesKnown(), true)
 	requireEqual(t, "reads", loaded[0].attempts, 2)
 	requireEqual(t, "machines", len(loaded[0].machines), 2)
@@ -153,7 +153,7 @@
 	r.load(func(loadedRecords) { t.Error("records are loaded after the recorder was stopped") })
 	r.stop()
 	store.complete(storage.Applied)
-	store.pendingReads[0](map[string][]string{"record-9": {"vm-2"}}, 5, true)
+	store.pendingReads[0](map[string][]string{"record-9": {"vm-2"}}, 5, nil)
 	requireEqual(t, "record", m.recordKey, "")
 	requireEqual(t, "machine of an old record is unknown", r.machines.get("vm-2") == nil, true)
 	requireEqual(t, "machines known", r.machinesKnown(), false)
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -31,7 +31,7 @@
 	renewalSentAt := testStartedAt + testTTL/renewalsPerLease
 	p.tickFor(renewalSentAt - p.now)
 	p.now += 2 * time.Second
-	p.renewals[0](true, false)
+	p.renewals[0](storage.LeaseRenewed)
 	requireEqual(t, "renewed until", p.MayActUntil(), renewalSentAt+validFor)
 	requireEqual(t, "just before its end", p.MayAct(renewalSentAt+validFor-1), true)
 	requireEqual(t, "at its end", p.MayAct(renewalSentAt+validFor), false)
@@ -43,7 +43,7 @@
 	p.becomeLeader(10)
 	p.tickFor(testTTL / renewalsPerLease)
 	p.events = nil
-	p.renewals[0](false, true)
+	p.renewals[0](storage.LeaseEnded)
 	requireEqual(t, "events", p.events, "[leadership lost lost all]")
 	requireEqual(t, "leads", p.Leading(), false)
 	requireEqual(t, "may act", p.MayAct(p.now), false)
--- a/internal/election/environment.go
+++ b/internal/election/environment.go
@@ -25,9 +25,9 @@
 	Watch(prefix string, from uint64, hold time.Duration, done func(changes protocol.WatchResponse, err error))
 	// OpenLease opens a lease; done gets its ID, or 0 if none was opened.
 	OpenLease(ttl time.Duration, done func(lease uint64))
-	// RenewLease renews a lease. Both results are false if no answer came within
+	// RenewLease renews a lease. The result is storage.RenewalUnknown if no answer came within
 	// the timeout.
-	RenewLease(lease uint64, timeout time.Duration, done func(renewed, expired bool))
+	RenewLease(lease uint64, timeout time.Duration, done func(storage.LeaseRenewal))
 	// After calls fn once the pause has passed.
 	After(pause time.Duration, fn func())
 }
--- a/internal/election/fake_test.go
+++ b/internal/election/fake_test.go
@@ -31,7 +31,7 @@
 	peers map[string]*fakePeer
 
 	leases   []func(lease uint64)
-	renewals []func(renewed, expired bool)
+	renewals []func(storage.LeaseRenewal)
 	gets     []func(storage.GetResult)
 	txns     []fakeTxn
 	lists    []storage.ListDone
@@ -146,7 +146,7 @@
 	p.leases = append(p.leases, done)
 }
 
-func (p *process) RenewLease(_ uint64, _ time.Duration, done func(renewed, expired bool)) {
+func (p *process) RenewLease(_ uint64, _ time.Duration, done func(storage.LeaseRenewal)) {
 	p.renewals = append(p.renewals, done)
 }
 
--- a/internal/election/lease_session.go
+++ b/internal/election/lease_session.go
@@ -1,6 +1,10 @@
 package election
 
-import "time"
+import (
+	"time"
+
+	"github.com/cobaltvale/cobaltvale/internal/storage"
+)
 
 const (
 	// ClockDriftFactor is an upper bound of the ratio between the lengths of a time
@@ -75,13 +79,13 @@
 	id := e.lease.id
 	e.lease.nextRenewalAt = now + e.config.LeaseTTL/renewalsPerLease
 	e.lease.renewalsInFlight++
-	e.env.State.RenewLease(id, e.config.LeaseTTL/2, func(renewed, expired bool) {
+	e.env.State.RenewLease(id, e.config.LeaseTTL/2, func(renewal storage.LeaseRenewal) {
 		e.lease.renewalsInFlight--
 		switch {
 		case id != e.lease.id:
-		case renewed:
+		case renewal == storage.LeaseRenewed:
 			e.lease.lastSuccessSentAt = max(e.lease.lastSuccessSentAt, now)
-		case expired:
+		case renewal == storage.LeaseEnded:
 			e.env.Log.Error().Uint64("lease", id).Msg("lease session expired")
 			e.endLease(LeaseSessionExpired)
 		}
--- a/internal/storage/golden_test.go
+++ b/internal/storage/golden_test.go
@@ -97,11 +97,11 @@
 			"n": {Allocation: quota.Amount{CPUs: 1500, GPUs: 2000}, Limit: quota.Amount{CPUs: 3000, GPUs: 4000}}}}}},
 	}, func(TxnResult) {})
 	advance()
-	store.LookupJob("wk-000001", VersionedJobRecord{}, 0, func(VersionedJobRecord, bool, bool) {})
+	store.LookupJob("wk-000001", VersionedJobRecord{}, 0, func(JobLookupResult) {})
 	store.OpenLease(8*time.Second, func(uint64) {})
-	store.RenewLease(7, time.Second, func(_, _ bool) {})
+	store.RenewLease(7, time.Second, func(LeaseRenewal) {})
 	shard.Recover(func([]RecoveredJob) {})
-	store.MachineRecords(func(map[string][]string, uint64, bool) {})
+	store.MachineRecords(func(map[string][]string, uint64, error) {})
 	advance()
 	shard.Release(func(TxnResult) {})
 	// In memory a page keeps its jobs in a map, so the order of two jobs in a record is random.
--- a/internal/storage/job_lookup.go
+++ b/internal/storage/job_lookup.go
@@ -28,21 +28,25 @@
 	Version uint64
 }
 
-// lookupDone is the callback of a lookup. ok is false if there is no certain answer.
-type lookupDone func(record VersionedJobRecord, found, ok bool)
+// JobLookupResult is the result of looking up a job's record.
+type JobLookupResult struct {
+	Record VersionedJobRecord // zero unless Found
+	Found  bool               // false also if Err is set
+	Err    error              // ErrNoAnswer, ErrUnreadableRecords, or nil
+}
 
 // jobLookup is a read of one job's record that has not begun.
 type jobLookup struct {
 	jobID       string
 	knownRecord VersionedJobRecord // the latest that an earlier read returned
 	deadline    time.Duration      // the latest of all waiters' deadlines, on the client's clock
-	waiters     []lookupDone
+	waiters     []func(JobLookupResult)
 }
 
 // notifyWaiters passes the result to all callers that wait for the lookup.
-func (l *jobLookup) notifyWaiters(record VersionedJobRecord, found, ok bool) {
+func (l *jobLookup) notifyWaiters(result JobLookupResult) {
 	for _, done := range l.waiters {
-		done(record, found, ok)
+		done(result)
 	}
 }
 
@@ -58,15 +62,15 @@
 
 // LookupJob reads a job's current record: the read begins after this call, and is not sent if
 // it has not begun by the deadline. known is the record that an earlier read returned, or the
-// zero value. done receives found if there is a record, and ok if the answer is certain.
-func (s *Store) LookupJob(id string, known VersionedJobRecord, deadline time.Duration, done func(record VersionedJobRecord, found, ok bool)) {
+// zero value.
+func (s *Store) LookupJob(id string, known VersionedJobRecord, deadline time.Duration, done func(JobLookupResult)) {
 	s.lookups.addLookup(id, known, deadline, done)
 }
 
 // addLookup queues a lookup, together with one of the same job that has not begun.
-func (q *jobLookups) addLookup(id string, known VersionedJobRecord, deadline time.Duration, done lookupDone) {
+func (q *jobLookups) addLookup(id string, known VersionedJobRecord, deadline time.Duration, done func(JobLookupResult)) {
 	if q.waiters >= maxLookupWaiters {
-		q.client.runLater(func() { done(VersionedJobRecord{}, false, false) })
+		q.client.runLater(func() { done(JobLookupResult{Err: ErrNoAnswer}) })
 		return
 	}
 	q.waiters++
@@ -150,9 +154,9 @@
 				q.readRecord(l, lookupEnded)
 				continue
 			case r.Outcome == Applied || r.Outcome == Conflict:
-				l.notifyWaiters(l.knownRecord, l.knownRecord.Version > 0, true)
+				l.notifyWaiters(JobLookupResult{Record: l.knownRecord, Found: l.knownRecord.Version > 0})
 			default:
-				l.notifyWaiters(VersionedJobRecord{}, false, false)
+				l.notifyWaiters(JobLookupResult{Err: ErrNoAnswer})
 			}
 			lookupEnded()
 		}
@@ -162,12 +166,20 @@
 // readRecord reads one job's record.
 func (q *jobLookups) readRecord(l *jobLookup, lookupEnded func()) {
 	q.client.GetWithDeadline(Read, l.deadline, JobKey(l.jobID), func(r GetResult) {
-		record := VersionedJobRecord{Version: r.KeyValue.Version}
-		found, ok := r.Found, r.Err == nil
-		if found && q.client.codec.Decode(r.KeyValue.Value, &record.JobRecord) != nil {
-			found, ok = false, false
-		}
-		l.notifyWaiters(record, found, ok)
+		l.notifyWaiters(q.decodeRecord(r))
 		lookupEnded()
 	})
 }
+
+// decodeRecord returns the result of a lookup whose read has been answered.
+func (q *jobLookups) decodeRecord(r GetResult) JobLookupResult {
+	result := JobLookupResult{Found: r.Found, Err: r.Err}
+	if !r.Found {
+		return result
+	}
+	if q.client.codec.Decode(r.KeyValue.Value, &result.Record.JobRecord) != nil {
+		return JobLookupResult{Err: ErrUnreadableRecords}
+	}
+	result.Record.Version = r.KeyValue.Version
+	return result
+}
--- a/internal/storage/leases.go
+++ b/internal/storage/leases.go
@@ -22,11 +22,27 @@
 	}})
 }
 
-// RenewLease renews a lease. Without an answer the lease is neither renewed nor expired;
-// expired reports that it has ended for good.
-func (c *client) RenewLease(lease uint64, timeout time.Duration, done func(renewed, expired bool)) {
+// LeaseRenewal is the result of renewing a lease.
+type LeaseRenewal uint8
+
+// The results of a renewal.
+const (
+	RenewalUnknown LeaseRenewal = iota // no usable answer: the lease may have been renewed, or not
+	LeaseRenewed                       // the lease has its full time from when the renewal was sent, at least
+	LeaseEnded                         // the lease has ended for good
+)
+
+// RenewLease renews a lease.
+func (c *client) RenewLease(lease uint64, timeout time.Duration, done func(LeaseRenewal)) {
 	path := "/leases/" + strconv.FormatUint(lease, 10) + "/touch"
 	c.enqueue(request{class: Urgent, method: http.MethodPost, path: path, timeout: timeout, done: func(r Response) {
-		done(r.Status == http.StatusOK, r.Status == http.StatusNotFound)
+		switch r.Status {
+		case http.StatusOK:
+			done(LeaseRenewed)
+		case http.StatusNotFound:
+			done(LeaseEnded)
+		default:
+			done(RenewalUnknown)
+		}
 	}})
 }
--- a/internal/storage/machine_records.go
+++ b/internal/storage/machine_records.go
@@ -31,16 +31,17 @@
 }
 
 // MachineRecords reads the names of all recorded machines, by the key of the record, as of a
-// revision. ok is false if some record could not be read.
-func (s *Store) MachineRecords(done func(records map[string][]string, revision uint64, ok bool)) {
+// revision. err is ErrNoAnswer, or ErrUnreadableRecords if some record could not be read.
+func (s *Store) MachineRecords(done func(records map[string][]string, revision uint64, err error)) {
 	s.List(machineRecordPrefix, func(items []protocol.KeyValue, revision uint64, err error) {
-		ok := err == nil
 		records := make(map[string][]string, len(items))
 		for _, it := range items {
-			names, err := s.codec.DecodeTexts(it.Value)
-			ok = ok && err == nil
+			names, decodeErr := s.codec.DecodeTexts(it.Value)
+			if err == nil && decodeErr != nil {
+				err = ErrUnreadableRecords
+			}
 			records[it.Key] = names
 		}
-		done(records, revision, ok)
+		done(records, revision, err)
 	})
 }
