The tasks on a machine are bounded by the length of its heartbeat

Cause: the leader bounded the tasks on a machine by CPUs, GPUs and memory only. With some 1,470 tasks a heartbeat is longer than a request may be; it is answered 400, the machine's lease ends, and all of its tasks are lost.

Change: the tasks that a heartbeat lists, exited ones and sent starts included, are bounded like a resource, at 504. The bound follows from the protocol's limit and the longest status, in the JSON form.

Why it works: every way to place a task goes through resources.fits, and a task takes its place until the machine lists it no more.

Evidence: TestManyTinyTasksKeepHeartbeatsWithinTheLimit failed before ("after 16 s the heartbeat has 69621 bytes, want at most 65536") and passes now, as does TestLongestHeartbeatOfAFullMachineIsAccepted, which checks the bound.

--- a/internal/coordination/kind_selection.go
+++ b/internal/coordination/kind_selection.go
@@ -237,5 +237,5 @@
 	if math.IsInf(n, 1) {
 		return 1
 	}
-	return n
+	return math.Min(n, maxTasksPerMachine)
 }
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -151,6 +151,7 @@
 	for i := range m.tasks {
 		replica := &m.tasks[i]
 		if replica.state == protocol.TaskExited {
+			free.listedTasks++
 			continue
 		}
 		if !replica.requirementsKnown() {
--- a/internal/coordination/pending_queue.go
+++ b/internal/coordination/pending_queue.go
@@ -173,7 +173,7 @@
 
 // mayFit reports whether some task of the queue may fit into free resources.
 func (q *machineKindQueue) mayFit(free resources) bool {
-	return q.jobCount > 0 && free.cpus >= q.smallestTask.cpus && free.memoryGB >= q.smallestTask.memoryGB
+	return q.jobCount > 0 && free.listedTasks < maxTasksPerMachine && free.cpus >= q.smallestTask.cpus && free.memoryGB >= q.smallestTask.memoryGB
 }
 
 // candidateQueues returns the queues whose jobs a machine may be offered to: those of the
--- a/internal/coordination/supply.go
+++ b/internal/coordination/supply.go
@@ -122,7 +122,7 @@
 				continue
 			}
 			n -= m.allocateTasks(job, n)
-			if m.free.cpus <= 0 {
+			if m.free.exhausted() {
 				full++
 			}
 		}
@@ -152,7 +152,7 @@
 func removeFullMachines(machines []*supplyMachine) []*supplyMachine {
 	remaining := machines[:0]
 	for _, m := range machines {
-		if m.free.cpus > 0 {
+		if !m.free.exhausted() {
 			remaining = append(remaining, m)
 		}
 	}
