--- a/internal/coordination/job_table.go
+++ b/internal/coordination/job_table.go
@@ -53,7 +53,7 @@
 		return
 	}
 	shard.jobs[summary.Job] = job
-	t.setCounts(job, summary, now)
+	t.setCounts(job, summary)
 	if summary.Ended {
 		t.markEnded(job, now)
 	}
@@ -69,7 +69,7 @@
 	if !summary.HasSpec {
 		return nil
 	}
-	job := &trackedJob{id: summary.Job, servedAt: now, failedMachines: make(map[string]bool)}
+	job := &trackedJob{id: summary.Job, failedMachines: make(map[string]bool)}
 	t.byID[summary.Job] = job
 	return job
 }
@@ -95,15 +95,12 @@
 
 // setCounts records an owner's counts of a job's tasks: how many are pending, and how many
 // may be on machines.
-func (t *jobTable) setCounts(job *trackedJob, summary *meshpb.JobSummary, now time.Duration) {
+func (t *jobTable) setCounts(job *trackedJob, summary *meshpb.JobSummary) {
 	if int(summary.Pending) > job.pending {
 		t.onPending()
 	}
 	job.pending, job.assigned, job.cancelling = int(summary.Pending), int(summary.Assigned), summary.Cancelling
 	job.started = job.started || job.assigned > 0
-	if job.pending == 0 {
-		job.servedAt = now
-	}
 	t.usage.update(job)
 }
 
--- a/internal/coordination/kind_selection.go
+++ b/internal/coordination/kind_selection.go
@@ -84,26 +84,6 @@
 	return marked && now < until+contentionWindow && s.hasExclusiveNeed(kind.typeName, now)
 }
 
-// allScarce reports whether the cloud had no machines, within the last contentionWindow, of any kind on
-// which a job's tasks may run.
-func (s *kindSelector) allScarce(job *trackedJob, now time.Duration) bool {
-	for name, t := range s.catalog.Catalog() {
-		if !capacityOf(t).fits(job.spec) {
-			continue
-		}
-		for _, zone := range t.Zones {
-			for _, spot := range []bool{true, false} {
-				kind := machineKind{name, zone, spot}
-				until, marked := s.unavailableUntil[kind]
-				if permits(job.spec, kind) && (!marked || now >= until+contentionWindow) {
-					return false
-				}
-			}
-		}
-	}
-	return true
-}
-
 // onlyFittingType returns the only type that a task fits on, or "" if it fits on none or on
 // several.
 func (s *kindSelector) onlyFittingType(spec *meshpb.JobSummary) string {
--- a/internal/coordination/offers.go
+++ b/internal/coordination/offers.go
@@ -138,7 +138,7 @@
 	l.scheduler.offers.close(o)
 	for _, summary := range f.Jobs {
 		if job := l.jobs.get(summary.Job); job.ownedBy(p) && !job.ended {
-			l.jobs.setCounts(job, summary, l.now())
+			l.jobs.setCounts(job, summary)
 		}
 	}
 	response := o.response
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -7,10 +7,6 @@
 	"github.com/cobaltvale/cobaltvale/internal/protocol/meshpb"
 )
 
-// warmPoolWait is how long an array waits for room outside the warm pool. Users expect a task to start
-// within 90 s wherever there is room.
-const warmPoolWait = time.Minute
-
 // minMachinesForJobFault is the number of machines on which a job must have failed for
 // its failures to count as the job's own fault.
 const minMachinesForJobFault = 3
@@ -34,7 +30,7 @@
 	if m.reservedFor != nil && m.reservedFor != job {
 		return false
 	}
-	if m.inWarmPool && !p.mayUseWarmPool(job, now) {
+	if m.inWarmPool && !job.spec.Service {
 		return false
 	}
 	if p.warmPool.exceedsSpread(job, m, now) || p.warmPool.shouldWaitForImage(job, m, now) {
@@ -48,17 +44,6 @@
 	return m.hasImage(job.image) || p.worthFetching(job, m)
 }
 
-// mayUseWarmPool reports whether a task of a job may be offered the room that is kept for services.
-// While the cloud has no more machines, an array that gets no room elsewhere may use it for one task at a
-// time: the pool may be all that has room, and the array would wait without end.
-func (p *placement) mayUseWarmPool(job *trackedJob, now time.Duration) bool {
-	if job.spec.Service {
-		return true
-	}
-	idle := job.assigned+job.offered == 0
-	return idle && now-job.servedAt > warmPoolWait && p.kinds.allScarce(job, now)
-}
-
 // canOfferWhenEmpty reports whether a machine's resources could be offered to a job if
 // all of them were free.
 func (p *placement) canOfferWhenEmpty(m *machine, job *trackedJob, now time.Duration) bool {
--- a/internal/coordination/scheduler.go
+++ b/internal/coordination/scheduler.go
@@ -120,7 +120,7 @@
 		if m.spot {
 			job.image.spotFree.subtract(job.spec)
 		}
-		s.offerTask(response, job, now)
+		s.offerTask(response, job)
 		for i, q := range queues {
 			if heads[i] != nil && !s.placement.canOffer(heads[i], m, free, now) {
 				heads[i] = s.queue.firstOfferable(q, &s.placement, m, free, now)
@@ -143,10 +143,7 @@
 
 // offerTask adds one task of a job to the offers. Once a task of an overdue job is on
 // offer, the job no longer precedes all others.
-func (s *scheduler) offerTask(response *pendingResponse, job *trackedJob, now time.Duration) {
-	if !response.machine.inWarmPool {
-		job.servedAt = now
-	}
+func (s *scheduler) offerTask(response *pendingResponse, job *trackedJob) {
 	s.offers.add(response, job)
 	if job.orderKey.Overdue {
 		job.unsentOverdueStarts++
--- a/internal/coordination/tracked_job.go
+++ b/internal/coordination/tracked_job.go
@@ -28,11 +28,10 @@
 	endedByOmission bool // its shard's owner did not list it; a summary with its spec undoes this
 
 	// Changed when tasks are offered, started or preempted.
-	offered             int           // tasks in offers that are not closed yet
-	servedAt            time.Duration // when a task was last offered room outside the warm pool, or none was pending
-	startSent           bool          // this leader has sent a start command for it
-	unsentOverdueStarts int           // tasks offered out of turn because the job was overdue, and not sent yet
-	preemptions         int           // how often a task of it was stopped to make room for others
+	offered             int  // tasks in offers that are not closed yet
+	startSent           bool // this leader has sent a start command for it
+	unsentOverdueStarts int  // tasks offered out of turn because the job was overdue, and not sent yet
+	preemptions         int  // how often a task of it was stopped to make room for others
 	orderKey            priority.Key
 
 	// See usageAccounting.
--- a/internal/coordination/warm_pool_test.go
+++ b/internal/coordination/warm_pool_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
 	"time"
 
@@ -58,40 +57,6 @@
 	}
 }
 
-// An accepted array waits without end: the machines that are kept for services are the whole fleet, and
-// the cloud has no more.
-func TestArrayRunsOnTheWarmPoolIfThereIsNothingElse(t *testing.T) {
-	sim := newSimulation(t, "a", "b", "c")
-	sim.Cloud.RejectsScaleOut = true
-	for i := range minSpreadMachines {
-		sim.AddMachine(fmt.Sprintf("vm-%d", i), []string{"z1", "z2"}[i%2])
-	}
-	sim.Run(2 * time.Second)
-	n := sim.Leader()
-	requireEqual(t, "service", n.Submit(simtest.ServiceJob("wk-1", 4)).Status, 201)
-	sim.Run(20 * time.Second)
-	requireEqual(t, "replicas of the service", len(sim.machinesByTask("wk-1")), 4)
-	const tasks = 6
-	done := make(map[string]bool)
-	sim.OnTaskDone = func(_ *simtest.Agent, name string) { done[name] = true }
-	sim.RunsUntilStopped = func(name string) bool { return strings.HasPrefix(name, "wk-1/") }
-	for _, agent := range sim.Agents {
-		agent.TaskDuration = 5 * time.Second
-	}
-	submitted := sim.Now()
-	requireEqual(t, "array", n.Submit(simtest.BatchJob("wk-2", tasks)).Status, 201)
-	const maxWait = 90 * time.Second // while a machine that fits has room
-	for len(sim.machinesByTask("wk-2")) == 0 && sim.Now()-submitted < 2*maxWait {
-		sim.Run(time.Second)
-	}
-	if waited := sim.Now() - submitted; waited > maxWait {
-		t.Errorf("the array's first task started after %s, want at most %s", waited, maxWait)
-	}
-	sim.Run(tasks * maxWait)
-	requireEqual(t, "completed tasks of the array", len(done), tasks)
-	requireEqual(t, "replicas of the service at the end", len(sim.machinesByTask("wk-1")), 4)
-}
-
 // A service's replicas are spread over several machines if these have room, so that the loss
 // of one machine stops at most half of them. In a zone with only one machine with room they
 // all run on that one.
