--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"os/signal"
 	"runtime"
@@ -20,7 +19,6 @@
 	"sick":  {telvogel, playSick},
 	"fetch": {formosa, playFetch},
 	"spot":  {formosa, playSpot},
-	"warm":  {formosa, playWarm},
 }
 
 func main() {
@@ -249,35 +247,6 @@
 	return nil
 }
 
-// playWarm: the cloud has no more machines than the four that are up. Nobody has submitted an
-// extra-edition yet.
-func playWarm(w *world) error {
-	w.mu.Lock()
-	w.site.bootS = func(string) float64 { return 30 + 30*rand.Float64() }
-	for _, hall := range []string{"taichung-room", "kaohsiung-room"} {
-		for range 2 {
-			m := w.addMachine("plate-16", hall, false, 0)
-			m.initial = true
-		}
-		w.capacity[kindOf("plate-16", hall, false)] = 12
-		w.capacity[kindOf("plate-16", hall, true)] = 10
-		if w.trouble {
-			w.capacity[kindOf("plate-16", hall, false)] = 2
-			w.capacity[kindOf("plate-16", hall, true)] = 0
-			w.logf("trouble: the cloud has no more machines in %s", hall)
-		}
-	}
-	w.mu.Unlock()
-	if err := w.startControllers(); err != nil {
-		return err
-	}
-	j := pageRender("wk-000001", 9, "img-02", 5, 50, nil)
-	w.submit(j)
-	over := time.Now()
-	w.waiting(j, at(&over), w.end())
-	return nil
-}
-
 // machineWith returns the last machine with a task of a job.
 func (w *world) machineWith(j *job) (found *machine) {
 	for _, m := range w.machines {
