--- a/review/lab2/check.go
+++ b/review/lab2/check.go
@@ -98,17 +98,20 @@
 
 // waiting watches one job: from the end of the troubles on, it must not be left waiting for
 // 90 s while one and the same machine that fits has room and its team is under its limit.
-// troublesOver returns when the troubles ended; zero: not yet.
-func (w *world) waiting(j *job, troublesOver func() time.Time, until time.Time) {
+// over is when the troubles ended. It returns an error if the rest of the time is too short to see.
+func (w *world) waiting(j *job, over, until time.Time) error {
 	const bound = 90 * time.Second
+	if left := time.Until(until); left < bound+time.Second {
+		return fmt.Errorf("only %.0f s are left", left.Seconds())
+	}
 	since := map[*machine]time.Time{}
 	lastNote := time.Now()
 	for time.Now().Before(until) {
 		time.Sleep(50 * time.Millisecond)
 		w.mu.Lock()
-		now, over := time.Now(), troublesOver()
+		now := time.Now()
 		used, most := w.teamUse(j.team)
-		idle := over.IsZero() || j.accepted.IsZero() || !j.final.IsZero() || w.hasTask(j) || (most > 0 && used+j.cpus > most)
+		idle := now.Before(over) || j.accepted.IsZero() || !j.final.IsZero() || w.hasTask(j) || (most > 0 && used+j.cpus > most)
 		longest := time.Duration(0)
 		for _, m := range w.machines {
 			if idle || !m.fits(j) {
@@ -125,7 +128,7 @@
 				w.violate("%s is left waiting for %.1f s (its user is told %q) while %s (%s) has %v CPUs and %v GB free and %s uses %v of %v CPUs", j.id,
 					now.Sub(since[m]).Seconds(), j.status, m.name, kindOf(m.kind.name, m.zone, m.spot), cpus, mem, j.team, used, most)
 				w.mu.Unlock()
-				return
+				return nil
 			}
 		}
 		if longest > 0 && now.Sub(lastNote) > 15*time.Second {
@@ -135,7 +138,8 @@
 		ended := !j.final.IsZero()
 		w.mu.Unlock()
 		if ended {
-			return
+			return nil
 		}
 	}
+	return nil
 }
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -131,9 +131,6 @@
 		hall: hall, loaners: true, expectedS: runS, pressByS: 2*runS + 10, runS: runS}
 }
 
-// at returns a function that returns a time that may still change.
-func at(t *time.Time) func() time.Time { return func() time.Time { return *t } }
-
 // playSick: the only machine fails every task for a few seconds, and is well afterwards.
 func playSick(w *world) error {
 	if err := w.startControllers(); err != nil {
@@ -169,8 +166,7 @@
 	} else {
 		over = time.Now()
 	}
-	w.waiting(j, at(&over), w.end())
-	return nil
+	return w.waiting(j, over, w.end())
 }
 
 // playFetch: a machine stops with a task of a job that is bound to its hall. The other machine
@@ -213,8 +209,7 @@
 		over = time.Now()
 		w.logf("trouble over: the cloud has confirmed that %s is gone", first.name)
 	}
-	w.waiting(j, at(&over), w.end())
-	return nil
+	return w.waiting(j, over, w.end())
 }
 
 // playSpot: the cloud has no cheap machine in one hall, so an ordinary one is rented there. A
@@ -243,8 +238,7 @@
 	j := pageRender("wk-000003", 1, "img-02", 1, 50, "kaohsiung-room")
 	w.submit(j)
 	over := time.Now()
-	w.waiting(j, at(&over), w.end())
-	return nil
+	return w.waiting(j, over, w.end())
 }
 
 // machineWith returns the last machine with a task of a job.
--- a/review/lab2/zone.go
+++ b/review/lab2/zone.go
@@ -45,8 +45,7 @@
 	j.cpus = 10
 	w.submit(j)
 	over := time.Now()
-	w.waiting(j, at(&over), w.end())
-	return nil
+	return w.waiting(j, over, w.end())
 }
 
 // onMachines counts the tasks of a job that are on machines or fetch their image there.
