--- a/review/lab2/check.go
+++ b/review/lab2/check.go
@@ -96,44 +96,47 @@
 	return cpus >= j.cpus-1e-9 && mem >= j.memGB-1e-9
 }
 
-// waiting watches one job: from the end of the troubles on, it must not be left waiting for
-// 90 s while one and the same machine that fits has room and its team is under its limit.
-// over is when the troubles ended. It returns an error if the rest of the time is too short to see.
+// waiting watches one job: from the end of the troubles on, it must not be left waiting for 90 s
+// while, all the time, a machine that fits has room and its team is under its limit. over is when
+// the troubles ended. It returns an error if the rest of the time is too short to see.
 func (w *world) waiting(j *job, over, until time.Time) error {
 	const bound = 90 * time.Second
 	if left := time.Until(until); left < bound+time.Second {
 		return fmt.Errorf("only %.0f s are left", left.Seconds())
 	}
-	since := map[*machine]time.Time{}
+	var since time.Time // since when the job waits and some machine has room; zero: not now
+	withRoom := ""
 	lastNote := time.Now()
 	for time.Now().Before(until) {
 		time.Sleep(50 * time.Millisecond)
 		w.mu.Lock()
 		now := time.Now()
 		used, most := w.teamUse(j.team)
-		idle := now.Before(over) || j.accepted.IsZero() || !j.final.IsZero() || w.hasTask(j) || (most > 0 && used+j.cpus > most)
-		longest := time.Duration(0)
+		waits := now.After(over) && !j.accepted.IsZero() && j.final.IsZero() && !w.hasTask(j) && (most <= 0 || used+j.cpus <= most)
+		names := []string{}
 		for _, m := range w.machines {
-			if idle || !m.fits(j) {
-				delete(since, m)
-				continue
-			}
-			if since[m].IsZero() {
-				since[m] = now
-				w.logf("check: %s waits, and %s (%s) has room", j.id, m.name, kindOf(m.kind.name, m.zone, m.spot))
-			}
-			longest = max(longest, now.Sub(since[m]))
-			if now.Sub(since[m]) >= bound {
-				cpus, mem := m.free()
-				w.violate("%s is left waiting for %.1f s (its user is told %q) while %s (%s) has %v CPUs and %v GB free and %s uses %v of %v CPUs", j.id,
-					now.Sub(since[m]).Seconds(), j.status, m.name, kindOf(m.kind.name, m.zone, m.spot), cpus, mem, j.team, used, most)
-				w.mu.Unlock()
-				return nil
+			if waits && m.fits(j) {
+				names = append(names, m.name)
 			}
 		}
-		if longest > 0 && now.Sub(lastNote) > 15*time.Second {
+		if len(names) == 0 {
+			since = time.Time{}
+		} else if since.IsZero() {
+			since = now
+		}
+		if text := fmt.Sprint(names); text != withRoom {
+			withRoom = text
+			w.logf("check: %s waits: %v, machines that fit and have room: %v", j.id, waits, names)
+		}
+		if !since.IsZero() && now.Sub(since) >= bound {
+			w.violate("%s is left waiting for %.1f s (its user is told %q) while %v have room; %s uses %v of %v CPUs", j.id,
+				now.Sub(since).Seconds(), j.status, names, j.team, used, most)
+			w.mu.Unlock()
+			return nil
+		}
+		if !since.IsZero() && now.Sub(lastNote) > 15*time.Second {
 			lastNote = now
-			w.logf("check: %s has been waiting for %.0f s while a machine has room", j.id, longest.Seconds())
+			w.logf("check: %s has been waiting for %.0f s while a machine has room", j.id, now.Sub(since).Seconds())
 		}
 		ended := !j.final.IsZero()
 		w.mu.Unlock()
--- a/review/lab2/zone.go
+++ b/review/lab2/zone.go
@@ -34,7 +34,7 @@
 	}
 	w.submit(extraEdition("wk-000001", 1, 6, nil))
 	if w.trouble {
-		array := pageRender("wk-000002", 18, "img-02", 5, 80, nil)
+		array := pageRender("wk-000002", 40, "img-02", 5, 80, nil)
 		array.together = true
 		w.submit(array)
 		if !w.sleepUntil(20*time.Second, func() bool { return w.onMachines(array) >= 3 }) {
