--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -234,13 +234,29 @@
 	if !w.sleepUntil(30*time.Second, func() bool { return !w.hasTask(urgent) }) {
 		return fmt.Errorf("%s did not end", urgent.id)
 	}
-	time.Sleep(3 * time.Second)
+	// The machine counts as empty once the ended task is reaped and its next report shows that.
+	if !w.sleepUntil(8*time.Second, func() bool { return !w.lists(urgent) }) {
+		return fmt.Errorf("%s was not reaped", urgent.id)
+	}
+	time.Sleep(1500 * time.Millisecond)
 	j := pageRender("wk-000003", 1, "img-02", 1, 50, "kaohsiung-room")
 	w.submit(j)
 	over := time.Now()
 	return w.waiting(j, over, w.end())
 }
 
+// lists reports whether a machine lists a task of a job, ended or not.
+func (w *world) lists(j *job) bool {
+	for _, m := range w.machines {
+		for _, t := range m.tasks {
+			if t.job == j && m.goneAt.IsZero() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // machineWith returns the last machine with a task of a job.
 func (w *world) machineWith(j *job) (found *machine) {
 	for _, m := range w.machines {
